Turn down requests whose end is in doubt, and read nothing behind them

With both Content-Length and Transfer-Encoding, Netty went by the chunks and served what a peer that goes by the length had put into a body. An expectation that is not met, or a body announced as too large, made it read the body as requests as well. Both end the connection now, like any unreadable request.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -19,11 +19,11 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.codec.http.cookie.Cookie;
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import java.io.IOException;
@@ -80,8 +80,8 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(),
-                                new HttpObjectAggregator(UpstreamClient.MAX_BODY), new Connection(channel));
+                        channel.pipeline().addLast(new RequestDecoder(), new HttpResponseEncoder(),
+                                new RequestAggregator(UpstreamClient.MAX_BODY), new Connection(channel));
                     }
                 });
         var bound = server.bind(config.listen()).await();
@@ -145,6 +145,8 @@
         private FullHttpRequest current;
         private Exchange exchange;
         private boolean served;
+        /** Whether nothing more is read as a request: where the last one ends may be in doubt. */
+        private boolean ended;
         private boolean closing;
 
         Connection(Channel channel) {
@@ -168,9 +170,12 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (closing || ahead.size() >= MAX_AHEAD) {
+            if (ended) {
                 return;
             }
+            // An answer to another method may have no body, and is no place to go on from.
+            ended = !request.decoderResult().isSuccess() || !HttpUtil.isKeepAlive(request)
+                    || !isGet(request) && !isPost(request) || ahead.size() == MAX_AHEAD - 1;
             if (current == null) {
                 handle(request.retain());
             } else {
@@ -182,8 +187,9 @@
             current = request;
             exchange = null;
             if (!request.decoderResult().isSuccess()) {
-                closing = true;
-                reject(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
+                boolean tooLong = request.decoderResult().cause() instanceof TooLongHttpContentException;
+                reject(tooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
+                        "malformed HTTP");
                 return;
             }
             if (request.uri().equals("/_health")) {
@@ -220,7 +226,7 @@
             if (retryAfter > 0) {
                 response.headers().set("Retry-After", UpstreamClient.seconds(Math.ceil(retryAfter)));
             }
-            closing |= draining || !HttpUtil.isKeepAlive(request);
+            closing |= draining || ended && ahead.isEmpty();
             if (closing) {
                 response.headers().set("Connection", "close");
             }
@@ -297,8 +303,8 @@
             throw new BadRequestException("X-Txn is missing");
         }
         Repeat repeat = config.settings().classes().get(serviceClass).repeat();
-        boolean get = request.method().equals(HttpMethod.GET);
-        if (get != (repeat == Repeat.IDEMPOTENT) || !get && !request.method().equals(HttpMethod.POST)) {
+        boolean get = isGet(request);
+        if (get != (repeat == Repeat.IDEMPOTENT) || !get && !isPost(request)) {
             throw new BadRequestException("the class wants another method");
         }
         if (repeat == Repeat.DEDUPLICATED && headers.get("Idempotency-Key", "").isBlank()) {
@@ -319,6 +325,14 @@
                 "1".equals(headers.get("X-Resent")), !get);
     }
 
+    private static boolean isGet(FullHttpRequest request) {
+        return request.method().equals(HttpMethod.GET);
+    }
+
+    private static boolean isPost(FullHttpRequest request) {
+        return request.method().equals(HttpMethod.POST);
+    }
+
     private static String firstPart(String uri) {
         List<String> parts = List.of(uri.split("[/?]", 3));
         return parts.size() > 1 ? parts.get(1) : "";
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -233,4 +233,63 @@
             assertEquals(5, stage.script.outcomes.size());
         }
     }
+
+    /** What the node reads as the request that follows would to another party be the inside of a body. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "HTTP/1.1\r\nContent-Length: 400\r\nTransfer-Encoding: chunked",
+        "HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5",
+        "HTTP/1.1\r\nTransfer-Encoding: gzip, chunked",
+        "HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        "HTTP/1.1\r\nTransfer-Encoding: xchunked\r\nContent-Length: 5",
+        "HTTP/1.0\r\nTransfer-Encoding: chunked",
+        "HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 400",
+        "HTTP/1.1\r\nContent-Length: +5",
+        "HTTP/1.1\r\nContent-Length: 5\r\na line with no colon",
+        "HTTP/1.1\r\nTransfer-Encoding : chunked",
+        "HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 70000",
+        "HTTP/1.1\r\nExpect: a-miracle\r\nContent-Length: 400",
+        "HTTP/1.1\r\nContent-Length: 70000",
+        "HTTP/3.1\r\nContent-Length: 5"})
+    void nothingBehindARequestWhoseEndIsInDoubtIsServed(String framing) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write("POST /credit-spend " + framing + "\r\nHost: app.svc\r\nX-Txn: outside\r\n"
+                    + "X-Lane: credit-spend\r\nX-Remaining: 10\r\n\r\n0\r\n\r\n" + Stage.get("inside", "10"));
+            int status = caller.read().status();
+            assertTrue(status == 400 || status == 413, "status " + status);
+            caller.socket.shutdownOutput();
+            assertTrue(caller.ended());
+            stage.caller().write(Stage.get("after", "10"));
+            assertEquals("after", stage.upstreams.get(0).accept().read().header("X-Txn"));
+        }
+    }
+
+    @Test
+    void nothingIsReadBehindTheLastRequestOfAConnection() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write("GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n" + Stage.get("behind", "10"));
+            assertEquals(200, caller.read().status());
+            caller.socket.shutdownOutput();
+            assertTrue(caller.ended());
+            stage.caller().write(Stage.get("after", "10"));
+            assertEquals("after", stage.upstreams.get(0).accept().read().header("X-Txn"));
+        }
+    }
+
+    @Test
+    void aMalformedRequestWaitsForTheOneBeforeItAndEndsTheConnection() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10") + "no request at all\r\n\r\n" + Stage.get("2", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(Stage.ok("first"));
+            assertEquals("first", caller.read().body());
+            assertEquals(400, caller.read().status());
+            caller.socket.shutdownOutput();
+            assertTrue(caller.ended());
+        }
+    }
 }
