Close callers that send no whole request within 2 s, and idle ones after 10 s

Nothing bounded how long a peer may hold a descriptor without a request.

The refusals remain: callers that were answered once and idle hold the descriptors.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -14,6 +14,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -48,6 +49,14 @@
     /** The longest wait that a caller can ask for, in seconds. */
     private static final double LONGEST_WAIT = 3_600;
     private static final int MS = 1_000;
+    /** How long a connection may take for its first request, and a later request from its head to its end. */
+    private static final double PATIENCE_MS = 2_000;
+    /** How long a connection that has been served may stand idle. */
+    private static final double IDLE_MS = 10_000;
+    /** Two of these after its patience is over, a connection is surely closed. */
+    private static final long SWEEP_MS = 250;
+    /** How often it is told that callers were turned down, where any were. */
+    private static final double TELL_EVERY_MS = 10_000;
     /** How long a caller that was answered for the last time may go on sending. */
     private static final long LINGER_MS = 500;
 
@@ -61,6 +70,10 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listening;
     private boolean draining;
+    /** Callers turned down since it was last told: for what they sent, and for what they did not send. */
+    private int malformed;
+    private int silent;
+    private double toldAt = Double.NEGATIVE_INFINITY;
 
     Frontend(EventLoop loop, NodeConfig config, Sockets sockets, ByteBufAllocator memory, Node node) {
         this.loop = loop;
@@ -80,8 +93,9 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new RequestDecoder(), new HttpResponseEncoder(),
-                                new RequestAggregator(UpstreamClient.MAX_BODY), new Connection(channel));
+                        RequestAggregator whole = new RequestAggregator(UpstreamClient.MAX_BODY);
+                        channel.pipeline().addLast(new RequestDecoder(), new HttpResponseEncoder(), whole,
+                                new Connection(channel, whole));
                     }
                 });
         var bound = server.bind(config.listen()).await();
@@ -90,6 +104,28 @@
                     + bound.cause().getMessage());
         }
         listening = bound.channel();
+        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Closes what has no request and has had its time: whoever sends nothing must not hold a descriptor. */
+    private void sweep() {
+        double now = node.now();
+        for (Connection connection : new ArrayList<>(connections)) {
+            if (connection.isOverdue(now)) {
+                // The request may have come and not been read yet, least of all where the processor is short.
+                Sockets.readNow(connection.channel);
+                if (connection.isOverdue(now)) {
+                    silent += connection.served && !connection.partial() ? 0 : 1;
+                    connection.channel.close();
+                }
+            }
+        }
+        if (malformed + silent > 0 && now >= toldAt + TELL_EVERY_MS) {
+            Node.LOG.info("turned down " + malformed + " malformed requests and " + silent + " silent callers");
+            toldAt = now;
+            malformed = 0;
+            silent = 0;
+        }
     }
 
     InetSocketAddress address() {
@@ -144,19 +180,43 @@
         /** The request at work; the exchange is known once the node has it. */
         private FullHttpRequest current;
         private Exchange exchange;
+        private final RequestAggregator whole;
+        /** Since when it has stood without a request; for a request that has begun to come, when that was. */
+        private double since = node.now();
+        private boolean begun;
         private boolean served;
         /** Whether nothing more is read as a request: where the last one ends may be in doubt. */
         private boolean ended;
         private boolean closing;
 
-        Connection(Channel channel) {
+        Connection(Channel channel, RequestAggregator whole) {
             this.channel = channel;
+            this.whole = whole;
         }
 
         boolean isIdle() {
             return current == null && !closing;
         }
 
+        /** Whether a request has come in part. */
+        boolean partial() {
+            return whole.isPartial();
+        }
+
+        boolean isOverdue(double now) {
+            return isIdle() && now > since + (served && !partial() ? IDLE_MS : PATIENCE_MS);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            // The first request has its time from the start, however little of it comes.
+            if (served && partial() != begun) {
+                begun = !begun;
+                since = node.now();
+            }
+            ctx.fireChannelReadComplete();
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             sockets.count(channel);
@@ -210,6 +270,7 @@
         }
 
         private void reject(HttpResponseStatus status, String why) {
+            malformed++;
             write(status, Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8), 0);
         }
 
@@ -234,6 +295,7 @@
             current = null;
             exchange = null;
             served = true;
+            since = node.now();
             // The longest idle come first.
             connections.remove(this);
             connections.add(this);
@@ -277,7 +339,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            if (cause instanceof PrematureChannelClosureException) {
+                malformed++;
+            } else if (!(cause instanceof IOException)) {
                 Node.LOG.log(Level.WARNING, "a caller's connection failed", cause);
             }
             ctx.close();
--- a/src/main/java/cranedeal/node/RequestAggregator.java
+++ b/src/main/java/cranedeal/node/RequestAggregator.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.util.List;
 
@@ -23,6 +24,8 @@
 final class RequestAggregator extends HttpObjectAggregator {
 
     private final int longest;
+    /** Whether a request's head has come and its end has not. */
+    private boolean partial;
 
     RequestAggregator(int longest) {
         super(longest);
@@ -38,7 +41,13 @@
                 return;
             }
         }
+        partial |= part instanceof HttpRequest;
         super.decode(ctx, part, out);
+        partial &= !(part instanceof LastHttpContent);
+    }
+
+    boolean isPartial() {
+        return partial;
     }
 
     private Exception amiss(HttpRequest head) {
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -292,4 +292,40 @@
             assertTrue(caller.ended());
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "POST /credit", "POST /credit HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"})
+    void aConnectionOnWhichNoRequestComesIsClosed(String part) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(part);
+            assertTrue(caller.ended());
+            stage.servesStill();
+        }
+    }
+
+    @Test
+    void aRequestThatComesInPartOnAConnectionThatWasServedIsNotWaitedFor() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(HEALTH);
+            assertEquals(200, caller.read().status());
+            caller.write("POST /credit-spend HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+            assertTrue(caller.ended());
+        }
+    }
+
+    @Test
+    void aConnectionWithARequestAtWorkIsNoIdleOne() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            // By the time that a silent one of the same age is closed, this one would be closed as well.
+            assertTrue(stage.caller().ended());
+            upstream.write(Stage.ok("late"));
+            assertEquals("late", caller.read().body());
+        }
+    }
 }
