--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -121,7 +121,7 @@
             }
         }
         if (malformed + silent > 0 && now >= toldAt + TELL_EVERY_MS) {
-            Node.LOG.info("turned down " + malformed + " malformed requests and " + silent + " silent callers");
+            Node.LOG.info("turned down " + malformed + " bad requests and " + silent + " silent callers");
             toldAt = now;
             malformed = 0;
             silent = 0;
