Let idle callers give way to attempts when descriptors run short

Callers could take all descriptors and keep them while idle; attempts found no room then, which was told as failed connects, and every request was refused. An idle caller goes first: a new one costs nothing upstream.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -81,6 +81,7 @@
         this.sockets = sockets;
         this.memory = memory;
         this.node = node;
+        sockets.evictCallersWith(this::evictIdle);
         for (int i = 0; i < config.classes().size(); i++) {
             classes.put(config.classes().get(i), i);
         }
@@ -152,10 +153,14 @@
 
     /** Closes the caller's connection that has been idle for longest, as it may between requests. */
     private boolean evictIdle() {
-        for (Connection connection : connections) {
-            if (connection.isIdle() && connection.served) {
-                connection.channel.close();
-                return true;
+        for (Connection connection : new ArrayList<>(connections)) {
+            if (connection.isEvictable()) {
+                // A request may have come that nobody has read yet.
+                Sockets.readNow(connection.channel);
+                if (connection.isIdle()) {
+                    connection.channel.close();
+                    return true;
+                }
             }
         }
         return false;
@@ -198,6 +203,10 @@
             return current == null && !closing;
         }
 
+        boolean isEvictable() {
+            return isIdle() && served && !partial() && channel.isActive();
+        }
+
         /** Whether a request has come in part. */
         boolean partial() {
             return whole.isPartial();
@@ -221,7 +230,7 @@
         public void channelActive(ChannelHandlerContext ctx) {
             sockets.count(channel);
             connections.add(this);
-            if (!sockets.roomForCaller() && !evictIdle()) {
+            if (!sockets.roomForCaller()) {
                 // Failing to accept for want of a descriptor would stop Netty from trying for a second.
                 listening.config().setAutoRead(false);
             }
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/cranedeal/node/Sockets.java
@@ -7,7 +7,7 @@
 /**
  * Counts the process's connections against the descriptors that it may hold. A caller that waits in the
  * backlog already counts as taken, so calls to upstreams leave room for callers, and an idle connection
- * gives way to whoever needs its descriptor.
+ * gives way to whoever needs its descriptor: a caller's first, since a new one costs an upstream work.
  */
 final class Sockets {
 
@@ -18,25 +18,35 @@
 
     private final int limit;
     private int open;
-    private BooleanSupplier evictIdle = () -> false;
+    private BooleanSupplier evictCaller = () -> false;
+    private BooleanSupplier evictUpstream = () -> false;
 
     Sockets(int descriptors) {
         limit = Math.max(CALLERS_SHARE, descriptors - OF_THE_PROCESS);
     }
 
-    /** Names what closes one idle upstream connection and tells whether there was one. */
-    void evictWith(BooleanSupplier evict) {
-        evictIdle = evict;
+    /** Names what closes one idle connection of a caller and tells whether there was one. */
+    void evictCallersWith(BooleanSupplier evict) {
+        evictCaller = evict;
+    }
+
+    /** The same for connections to upstreams. */
+    void evictUpstreamsWith(BooleanSupplier evict) {
+        evictUpstream = evict;
+    }
+
+    private boolean evictIdle() {
+        return evictCaller.getAsBoolean() || evictUpstream.getAsBoolean();
     }
 
     /** Whether a connection to an upstream may be opened, after an idle one has gone for it if need be. */
     boolean roomForUpstream() {
-        return open < limit - limit / CALLERS_SHARE || evictIdle.getAsBoolean();
+        return open < limit - limit / CALLERS_SHARE || evictIdle();
     }
 
     /** Whether a caller may stay: the one just accepted is counted already. */
     boolean roomForCaller() {
-        return open <= limit || evictIdle.getAsBoolean();
+        return open <= limit || evictIdle();
     }
 
     /** Counts a connection until it is closed. */
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -79,7 +79,7 @@
                                 new HttpObjectAggregator(MAX_BODY), new Connection(channel));
                     }
                 });
-        sockets.evictWith(this::evictIdle);
+        sockets.evictUpstreamsWith(this::evictIdle);
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -328,4 +328,23 @@
             assertEquals("late", caller.read().body());
         }
     }
+
+    @Test
+    void idleCallersGiveWayToAttemptsWhenDescriptorsRunShort() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.sockets = 64 + 10;
+            stage.start();
+            Peer caller = null;
+            for (int i = 0; i < 10; i++) {
+                caller = stage.caller();
+                caller.write(HEALTH);
+                assertEquals(200, caller.read().status());
+            }
+            caller.write(Stage.get("1", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(Stage.ok("served"));
+            assertEquals("served", caller.read().body());
+        }
+    }
 }
