Read upstreams' answers strictly: a doubtful head makes no answer

Netty mends the heads of answers: a line without a colon became a header, a length beside chunks was dropped, HTTP/2.0 on the status line and a coding it does not know passed. Such answers went on as served. They are failed attempts that may have run now, and their number is logged.

--- /dev/null
+++ b/src/main/java/cranedeal/node/ResponseDecoder.java
@@ -0,0 +1,55 @@
+package cranedeal.node;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+
+/**
+ * Reads answers by the letter. Netty is lenient with servers and mends what it can; an answer so mended is
+ * none that an upstream made, and whoever passes it on says that it was served.
+ */
+final class ResponseDecoder extends HttpResponseDecoder {
+
+    private static final int STATUS_DIGITS = 3;
+
+    private boolean inHead;
+
+    @Override
+    protected HttpMessage createMessage(String[] line) {
+        HttpMessage message = super.createMessage(line);
+        HttpVersion version = message.protocolVersion();
+        if (line[1].length() != STATUS_DIGITS
+                || !version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
+            throw new IllegalArgumentException("no status line of HTTP/1");
+        }
+        inHead = true;
+        return message;
+    }
+
+    /** Netty wants a colon right behind each name only in the head of a request. */
+    @Override
+    protected boolean isDecodingRequest() {
+        return inHead;
+    }
+
+    /** Netty asks once it has the whole head. */
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        inHead = false;
+        List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean chunked = codings.size() == 1
+                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).strip());
+        if (!codings.isEmpty() && (!chunked || message.protocolVersion().equals(HttpVersion.HTTP_1_0))) {
+            throw new IllegalArgumentException("a body with unknown coding");
+        }
+        return super.isContentAlwaysEmpty(message);
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("both Transfer-Encoding and Content-Length");
+    }
+}
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -19,9 +19,9 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -44,6 +44,7 @@
     /** The part of an upstream's idle limit after which a connection is closed from this side. */
     private static final double IDLE_SHARE = 0.7;
     private static final long SWEEP_MS = 1_000;
+    private static final double TELL_EVERY_MS = 10_000;
     private static final int MILLI = 3;
     /** What a caller says of its own connection is not for the next. */
     private static final List<String> HOP_BY_HOP = List.of("Connection", "Keep-Alive", "Proxy-Connection",
@@ -62,6 +63,9 @@
     private final Sockets sockets;
     private final Bootstrap bootstrap;
     private final Map<Long, Target> targets = new HashMap<>();
+    /** Answers that could not be read since that was last told. */
+    private int unreadable;
+    private double toldAt = Double.NEGATIVE_INFINITY;
 
     UpstreamClient(EventLoop loop, Clock clock, Settings settings, Sockets sockets, ByteBufAllocator memory) {
         this.loop = loop;
@@ -75,7 +79,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(),
+                        channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(),
                                 new HttpObjectAggregator(MAX_BODY), new Connection(channel));
                     }
                 });
@@ -156,6 +160,11 @@
     }
 
     private void sweep() {
+        if (unreadable > 0 && clock.now() >= toldAt + TELL_EVERY_MS) {
+            Node.LOG.warning(unreadable + " answers of upstreams could not be read");
+            toldAt = clock.now();
+            unreadable = 0;
+        }
         double oldest = clock.now() - IDLE_SHARE * settings.limits().connectionIdle();
         for (Target target : targets.values()) {
             while (!target.idle.isEmpty() && target.idle.peekFirst().idleSince < oldest) {
@@ -361,6 +370,7 @@
                 // What the end of the connection completes is no answer: a crash would look like that too.
                 attempt.broke();
             } else if (!response.decoderResult().isSuccess()) {
+                unreadable++;
                 attempt.giveUp(Result.ERROR);
             } else {
                 boolean keep = !attempt.over && attempt.written && HttpUtil.isKeepAlive(response);
@@ -391,6 +401,7 @@
                     || cause instanceof PrematureChannelClosureException;
             if (carried != null && !broken) {
                 // An answer that is too large or no HTTP: the upstream has had the request.
+                unreadable++;
                 carried.giveUp(carried.written ? Result.ERROR : Result.CONNECT_FAILED);
             }
             // For a broken connection, the end of the channel tells the attempt.
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -131,7 +131,15 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"})
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nfour",
+        "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nfour",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 4\r\n\r\nfour",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\nContent-Length: 4\r\n\r\nfour",
+        "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nfour",
+        "HTTP/1.1 0200 OK\r\nContent-Length: 4\r\n\r\nfour"})
     void aMalformedAnswerIsAnError(String answer) throws Exception {
         try (Stage stage = new Stage().start()) {
             Peer caller = stage.caller();
