--- a/src/main/java/cranedeal/node/ResponseDecoder.java
+++ b/src/main/java/cranedeal/node/ResponseDecoder.java
@@ -1,10 +1,12 @@
 package cranedeal.node;
 
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
@@ -15,8 +17,29 @@
 
     private static final int STATUS_DIGITS = 3;
 
+    /** Whether a request waits for its answer: what comes at any other time belongs to none. */
+    private boolean awaited;
     private boolean inHead;
 
+    void await(boolean answer) {
+        awaited = answer;
+    }
+
+    /** Whether something has come behind the answer that was read last. */
+    boolean hasSurplus() {
+        return actualReadableBytes() > 0;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+        if (awaited) {
+            super.channelRead(ctx, bytes);
+        } else {
+            ReferenceCountUtil.release(bytes);
+            ctx.close();
+        }
+    }
+
     @Override
     protected HttpMessage createMessage(String[] line) {
         HttpMessage message = super.createMessage(line);
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -79,8 +79,9 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(),
-                                new HttpObjectAggregator(MAX_BODY), new Connection(channel));
+                        ResponseDecoder decoder = new ResponseDecoder();
+                        channel.pipeline().addLast(new HttpRequestEncoder(), decoder,
+                                new HttpObjectAggregator(MAX_BODY), new Connection(channel, decoder));
                     }
                 });
         sockets.evictUpstreamsWith(this::evictIdle);
@@ -331,22 +332,26 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
         final Channel channel;
+        private final ResponseDecoder decoder;
         double idleSince;
         private Attempt carried;
         private Target home;
 
-        Connection(Channel channel) {
+        Connection(Channel channel, ResponseDecoder decoder) {
             this.channel = channel;
+            this.decoder = decoder;
         }
 
         void carry(Attempt attempt) {
             carried = attempt;
+            decoder.await(true);
             home = attempt.target;
         }
 
         /** Keeps the connection for the next attempt. */
         void park(Target target) {
             carried = null;
+            decoder.await(false);
             home = target;
             if (!Double.isNaN(target.toldOff)) {
                 channel.close();
@@ -369,11 +374,12 @@
             } else if (!channel.isActive()) {
                 // What the end of the connection completes is no answer: a crash would look like that too.
                 attempt.broke();
-            } else if (!response.decoderResult().isSuccess()) {
+            } else if (!response.decoderResult().isSuccess() || !attempt.written) {
+                // What comes before the request is out as a whole can be no answer to it.
                 unreadable++;
                 attempt.giveUp(Result.ERROR);
             } else {
-                boolean keep = !attempt.over && attempt.written && HttpUtil.isKeepAlive(response);
+                boolean keep = !attempt.over && HttpUtil.isKeepAlive(response) && !decoder.hasSurplus();
                 attempt.answered(response);
                 // Only now: the module's next send must not read from a connection that is being read.
                 if (keep && channel.isActive()) {
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -154,6 +154,25 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aConnectionOnWhichMoreThanTheAnswerComesIsNotUsedAgain(boolean later) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            String more = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n";
+            upstream.write(Stage.ok("one") + (later ? "" : more));
+            assertEquals("one", caller.read().body());
+            if (later) {
+                upstream.write(more);
+            }
+            assertTrue(upstream.ended());
+            stage.servesStill();
+        }
+    }
+
     @Test
     void anAnswerOverTheLimitIsAnErrorAndOneAtItIsNot() throws Exception {
         try (Stage stage = new Stage().start()) {
