--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -52,6 +53,7 @@
     private final Listener listener;
     private final int watchMillis;
     private final Bootstrap bootstrap;
+    private InetSocketAddress address;
     private long version;
     private boolean watching;
     /** The watch's connection, kept from call to call, and its call that is out. */
@@ -64,6 +66,7 @@
         this.config = config;
         this.listener = listener;
         this.watchMillis = watchMillis;
+        address = config.discovery();
         version = config.known().version();
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
@@ -88,6 +91,25 @@
         }
     }
 
+    /**
+     * From now on asks at another address. What is out at the old one would only be cut off, and news would
+     * come late; a watch goes on from the version that it had.
+     */
+    void moveTo(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        if (kept != null) {
+            kept.close();
+            kept = null;
+        }
+        if (watch != null) {
+            watch.abandon();
+            watchOn();
+        }
+    }
+
     private void watchOn() {
         watch = new Call("?index=" + version + "&wait=" + watchMillis, watchMillis + LATE_MS,
                 this::watched);
@@ -150,7 +172,7 @@
                 ask(connection);
                 return;
             }
-            bootstrap.connect(config.discovery()).addListener((io.netty.channel.ChannelFuture up) -> {
+            bootstrap.connect(address).addListener((io.netty.channel.ChannelFuture up) -> {
                 channel = up.channel();
                 if (over) {
                     channel.close();
@@ -167,7 +189,7 @@
             channel.pipeline().get(Answers.class).asked = this;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/catalog/members" + query, Unpooled.EMPTY_BUFFER);
-            request.headers().set("Host", config.discovery().getHostString());
+            request.headers().set("Host", address.getHostString());
             channel.writeAndFlush(request).addListener(write -> {
                 if (!write.isSuccess()) {
                     fail();
--- a/src/main/java/cranedeal/node/Main.java
+++ b/src/main/java/cranedeal/node/Main.java
@@ -1,6 +1,8 @@
 package cranedeal.node;
 
+import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
 
 /** The command line: {@code serve} runs one balancer, {@code wire} the same decisions for the simulator. */
 public final class Main {
@@ -27,6 +29,7 @@
             exit("sablehinge: " + e.getMessage(), 1);
         }
         drainAtShutdown(node);
+        reloadAtHangup(node);
         // The node's own threads are daemons, so that the end of the shutdown hook ends the process.
         new CountDownLatch(1).await();
     }
@@ -42,6 +45,34 @@
         }, "drain"));
     }
 
+    /**
+     * Without a handler of its own, SIGHUP would end the virtual machine. Only sun.misc.Signal can set one, and
+     * the compiler takes no mention of that without a warning, so it is looked up.
+     */
+    private static void reloadAtHangup(Node node) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object reload = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, arguments) -> {
+                        reload(node);
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), reload);
+        } catch (ReflectiveOperationException e) {
+            Node.LOG.log(Level.WARNING, "SIGHUP will end this process", e);
+        }
+    }
+
+    private static void reload(Node node) {
+        try {
+            node.reload(NodeConfig.read(System.getenv("PROXY_CONFIG")));
+        } catch (ConfigException e) {
+            Node.LOG.warning("the old configuration holds: " + e.getMessage());
+        }
+    }
+
     private static void exit(String message, int status) {
         System.err.println(message);
         System.exit(status);
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -132,6 +132,12 @@
                 .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT))).sync();
     }
 
+    /** Takes in a configuration that has been replaced: discovery may have moved. */
+    void reload(NodeConfig replaced) {
+        LOG.info("asks discovery at " + replaced.discovery() + " from now on");
+        loop.execute(() -> discovery.moveTo(replaced.discovery()));
+    }
+
     /** Closes callers' connections that are idle; whether none is left. */
     boolean endDrain() throws InterruptedException {
         return loop.submit(frontend::endDrain).sync().getNow();
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -142,4 +142,38 @@
             assertEquals("kept", caller.read().body());
         }
     }
+
+    @Test
+    void sighupMovesTheWatchToWhereDiscoveryIsNow() throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Process process = null;
+        try (Stage stage = new Stage(); Listener moved = new Listener()) {
+            String config = stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port);
+            Files.writeString(file, config);
+            process = start(file, "serve");
+            Peer caller = Peer.toServing(new InetSocketAddress("127.0.0.1", port), process);
+            Peer before = stage.discovery.accept();
+            before.read();
+            before.write(Stage.ok(Stage.roster(45, false)));
+            before.read();
+            // A file that can't be read changes nothing, and what follows it still counts.
+            for (String text : new String[] {"{", config.replace(stage.discovery.address(), moved.address())}) {
+                Files.writeString(file, text);
+                new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
+            }
+            assertEquals("GET /catalog/members?index=45&wait=20000 HTTP/1.1", moved.accept().read().first());
+            assertTrue(before.ended());
+            caller.write(HEALTH);
+            assertEquals(200, caller.read().status());
+        } finally {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+            Files.delete(file);
+        }
+    }
 }
