--- a/src/main/java/cranedeal/node/Main.java
+++ b/src/main/java/cranedeal/node/Main.java
@@ -46,8 +46,8 @@
     }
 
     /**
-     * Without a handler of its own, SIGHUP would end the virtual machine. Only sun.misc.Signal can set one, and
-     * the compiler takes no mention of that without a warning, so it is looked up.
+     * Without a handler of its own, SIGHUP would end the virtual machine. Only sun.misc.Signal can set one,
+     * and the compiler takes no mention of that without a warning, so it is looked up.
      */
     private static void reloadAtHangup(Node node) {
         try {
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -161,7 +161,8 @@
             before.write(Stage.ok(Stage.roster(45, false)));
             before.read();
             // A file that can't be read changes nothing, and what follows it still counts.
-            for (String text : new String[] {"{", config.replace(stage.discovery.address(), moved.address())}) {
+            String replaced = config.replace(stage.discovery.address(), moved.address());
+            for (String text : new String[] {"{", replaced}) {
                 Files.writeString(file, text);
                 new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
             }
