Do not reuse connections idle for longer than upstreams have reset

What is reset may have run, so book-slot fails. Two upstreams' resets teach a limit now, which doubles every 30 s.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -44,6 +44,8 @@
     /** The part of an upstream's idle limit after which a connection is closed from this side. */
     private static final double IDLE_SHARE = 0.7;
     private static final long SWEEP_MS = 1_000;
+    /** How long a reset counts as a witness for another, and the limit that it teaches takes to double. */
+    private static final double WITNESS_MS = 30_000;
     private static final double TELL_EVERY_MS = 10_000;
     private static final int MILLI = 3;
     /** What a caller says of its own connection is not for the next. */
@@ -63,6 +65,13 @@
     private final Sockets sockets;
     private final Bootstrap bootstrap;
     private final Map<Long, Target> targets = new HashMap<>();
+    /** How long connections may have been idle for another use, as resets have taught; and when they did. */
+    private double taughtIdle = Double.POSITIVE_INFINITY;
+    private double taughtAt;
+    /** The last reset of a connection that was used again: whose, when, and how long it had been idle. */
+    private Target resetBy;
+    private double resetAt = Double.NEGATIVE_INFINITY;
+    private double resetIdle;
     /** Answers that could not be read since that was last told. */
     private int unreadable;
     private double toldAt = Double.NEGATIVE_INFINITY;
@@ -166,7 +175,7 @@
             toldAt = clock.now();
             unreadable = 0;
         }
-        double oldest = clock.now() - IDLE_SHARE * settings.limits().connectionIdle();
+        double oldest = clock.now() - longestIdle();
         for (Target target : targets.values()) {
             while (!target.idle.isEmpty() && target.idle.peekFirst().idleSince < oldest) {
                 target.idle.pollFirst().channel.close();
@@ -178,6 +187,27 @@
                 && t.toldOff < clock.now() - 2 * grace && t.idle.isEmpty());
     }
 
+    /**
+     * How long a connection may have been idle for another use. The settings say when upstreams close one at
+     * the latest; some do so far sooner, and what crosses that may have run.
+     */
+    private double longestIdle() {
+        double healed = taughtIdle * Math.pow(2, (clock.now() - taughtAt) / WITNESS_MS);
+        return Math.min(healed, IDLE_SHARE * settings.limits().connectionIdle());
+    }
+
+    /** One upstream that resets connections may have crashed; if two do, it is their way with idle ones. */
+    private void wasReset(Target target, double idleFor) {
+        double now = clock.now();
+        if (target != resetBy && now < resetAt + WITNESS_MS) {
+            taughtIdle = Math.min(longestIdle(), Math.max(idleFor, resetIdle) / 2);
+            taughtAt = now;
+        }
+        resetBy = target;
+        resetAt = now;
+        resetIdle = idleFor;
+    }
+
     /** Closes the connection that has been idle for longest; false if there is none. */
     private boolean evictIdle() {
         Target longest = null;
@@ -202,6 +232,8 @@
         private final Future<?> expiry;
         private Target target;
         private Channel channel;
+        /** How long its connection had been idle; NaN for a new one. */
+        private double idleFor = Double.NaN;
         private boolean written;
         private boolean over;
 
@@ -250,6 +282,7 @@
                 end(Result.CONNECT_FAILED, null);
                 return;
             }
+            idleFor = now - connection.idleSince;
             connection.carry(this);
             FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
                     request.uri(), request.content().retainedDuplicate());
@@ -268,6 +301,9 @@
 
         /** The connection is of no more use: what was not written whole can't have run. */
         private void broke() {
+            if (!over && written && !Double.isNaN(idleFor)) {
+                wasReset(target, idleFor);
+            }
             giveUp(written ? Result.RESET : Result.CONNECT_FAILED);
         }
 
@@ -312,13 +348,15 @@
         }
     }
 
-    private static Connection takeIdle(Target target) {
+    private Connection takeIdle(Target target) {
+        double oldest = clock.now() - longestIdle();
         for (Connection c = target.idle.pollLast(); c != null; c = target.idle.pollLast()) {
             // The upstream may have closed it, and what is written to it then would count as run.
             Sockets.readNow(c.channel);
-            if (c.channel.isActive()) {
+            if (c.channel.isActive() && c.idleSince >= oldest) {
                 return c;
             }
+            c.channel.close();
         }
         return null;
     }
@@ -333,7 +371,7 @@
 
         final Channel channel;
         private final ResponseDecoder decoder;
-        double idleSince;
+        double idleSince = Double.NaN;
         private Attempt carried;
         private Target home;
 
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -358,6 +358,43 @@
         }
     }
 
+    @Test
+    void whereUpstreamsResetIdleConnectionsThoseAreNotUsedAgain() throws Exception {
+        try (Stage stage = new Stage(2).start()) {
+            Peer caller = stage.caller();
+            long begun = System.nanoTime();
+            Peer[] kept = {serve(stage, caller, 0), serve(stage, caller, 1)};
+            TimeUnit.MILLISECONDS.sleep(100);
+            for (int i = 0; i < kept.length; i++) {
+                ask(stage, caller, i);
+                kept[i].read();
+                kept[i].reset();
+                assertEquals(502, caller.read().status());
+            }
+            // Longer than any connection was idle before it was reset: half of that is allowed now.
+            long idle = System.nanoTime() - begun;
+            Peer unused = serve(stage, caller, 0);
+            TimeUnit.NANOSECONDS.sleep(idle);
+            serve(stage, caller, 0);
+            assertTrue(unused.ended());
+        }
+    }
+
+    private static void ask(Stage stage, Peer caller, int place) throws IOException {
+        stage.script.onRequest = request -> stage.script.sendTo(place, request, 0);
+        caller.write(Stage.get("any", "10"));
+    }
+
+    /** Has a request served on a new connection, and returns that. */
+    private static Peer serve(Stage stage, Peer caller, int place) throws Exception {
+        ask(stage, caller, place);
+        Peer upstream = stage.upstreams.get(place).accept();
+        upstream.read();
+        upstream.write(Stage.ok("a"));
+        assertEquals(200, caller.read().status());
+        return upstream;
+    }
+
     /** Answers the node's first watch with a whole list of one upstream. */
     private static Peer tell(Stage stage, String entry) throws Exception {
         Script.next(stage.script.changes);
