Count calls that break at once as no sign of overload

Where a fifth of the calls ended in resets, errors of one kind or another and time-outs, the share of work refused rose to its bound, though the servers had time to spare: refusals of sound requests made clients come back with more. What breaks early tells of a fault; calls that are late, time out or are turned away as full still tell of a crowd.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -446,7 +446,11 @@
         learn(attempt, outcome, now);
         if (settings.tier() == 0 && !attempt.strained && outcome.result() != Result.CANCELLED) {
             boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
-            feelPressure(call.record.leader, outcome.result() == Result.OK && inGoodTime, now);
+            // What breaks at once tells of a fault, not of a crowd.
+            if (!inGoodTime || outcome.result() == Result.OK || outcome.result() == Result.FULL
+                    || outcome.result() == Result.TIMEOUT) {
+                feelPressure(call.record.leader, outcome.result() == Result.OK && inGoodTime, now);
+            }
         }
         if (outcome.result() == Result.OK && attempt.number > 0) {
             // It served where another did not: sick servers, not a jam, and worth as many again.
