Serve on during a drain before callers are sent away

A draining balancer closed its callers' connections at once. It has 3 s and more, so it serves on the connections that it has for 1.8 s.

--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -48,6 +48,8 @@
     /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
     private static final double LONGEST_DRAIN_MS = 3_000;
     private static final double DRAIN_SLACK_MS = 550;
+    /** How long before that callers are sent away: what comes until then still has time to be served. */
+    private static final double SEND_AWAY_MS = 1_200;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -112,19 +114,24 @@
     }
 
     /**
-     * Stops as SIGTERM wants it: goes on serving until the late connections have come and all that was taken
-     * is answered. Returns when the process may end.
+     * Stops as SIGTERM wants it: goes on serving on the connections that callers have, as there may be nobody
+     * else to go to yet, then sends them away until all that was taken is answered. Returns when the process
+     * may end.
      */
     void drain() throws InterruptedException {
         double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadline).max()
                 .orElse(0);
         double begun = clock.now();
         double latest = begun + Math.min(longest, LONGEST_DRAIN_MS) + DRAIN_SLACK_MS;
+        double sendAway = Math.max(begun, latest - DRAIN_SLACK_MS - SEND_AWAY_MS);
+        while (clock.now() < sendAway) {
+            Thread.sleep(DRAIN_CHECK_MS);
+        }
         loop.submit(frontend::beginDrain).sync();
         boolean done = false;
         while (!done && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
-            boolean late = clock.now() < begun + LATE_CONNECTIONS_MS;
+            boolean late = clock.now() < sendAway + LATE_CONNECTIONS_MS;
             done = !late && endDrain();
         }
         // What SIGKILL found unanswered would be lost; a failure is an answer.
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -89,11 +89,13 @@
             // A late caller, one on a connection that it had, and the one that was taken before.
             Peer.Message late = null;
             while (late == null || late.header("Connection") == null) {
-                // Until the signal has come through, answers keep the connection.
-                Peer caller = Peer.to(address);
-                caller.write(HEALTH);
-                late = caller.read();
-                assertEquals(200, late.status());
+                // Until callers are sent away, answers keep the connection. Were it left open, so many would
+                // come that the idle one had to go.
+                try (Peer caller = Peer.to(address)) {
+                    caller.write(HEALTH);
+                    late = caller.read();
+                    assertEquals(200, late.status());
+                }
             }
             idle.write(Stage.get("reused", "2"));
             Peer second = stage.upstreams.get(0).accept();
@@ -177,4 +179,33 @@
             Files.delete(file);
         }
     }
+
+    @Test
+    void aDrainServesOnBeforeItSendsItsCallersAway() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(HEALTH);
+            caller.read();
+            Thread drain = new Thread(() -> {
+                try {
+                    stage.node.drain();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            long begun = System.nanoTime();
+            drain.start();
+            // Some answers come after the drain has begun and keep the connection, until one ends it.
+            int kept = 0;
+            Peer.Message answer = null;
+            while (answer == null || answer.header("Connection") == null) {
+                caller.write(HEALTH);
+                answer = caller.read();
+                kept++;
+            }
+            long servedOn = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
+            assertTrue(servedOn >= 1_000 && kept > 1, "sent away after " + servedOn + " ms");
+            drain.join();
+        }
+    }
 }
