--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -144,7 +144,8 @@
         for (Connection connection : new ArrayList<>(connections)) {
             // A request that lies unread in the kernel would be lost with its connection.
             Sockets.readNow(connection.channel);
-            if (connection.isIdle()) {
+            // Nor must one be cut off whose request is on its way in; it has its time, like any.
+            if (connection.isIdle() && !connection.partial()) {
                 connection.channel.close();
             }
         }
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -208,4 +208,25 @@
             drain.join();
         }
     }
+
+    @Test
+    void aDrainWaitsForARequestThatIsOnItsWayIn() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(HEALTH);
+            caller.read();
+            String request = Stage.spend("1", "body");
+            caller.write(request.substring(0, request.length() - 2));
+            // What the caller wrote before has been read once this one, on the same thread, has its answer.
+            Peer other = stage.caller();
+            other.write(HEALTH);
+            other.read();
+            assertFalse(stage.node.endDrain());
+            caller.write(request.substring(request.length() - 2));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(Stage.ok("kept"));
+            assertEquals("kept", caller.read().body());
+        }
+    }
 }
