Forget upstreams that are gone, also those that drained first

An upstream's last listed state was draining when it was removed, and such were kept for good: one for each server that a release replaces.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -102,6 +102,8 @@
         Member member;
         /** When this balancer was told that it wants nothing new; NaN while it does. */
         double toldOff = Double.NaN;
+        /** Whether it is in the list, ready or not. */
+        boolean listed;
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
 
         void closeIdle() {
@@ -119,7 +121,7 @@
         for (Member member : roster.members()) {
             left.remove(member.upstream().id());
             if (member.upstream().state() == State.REMOVED) {
-                tellOff(targets.get(member.upstream().id()), now);
+                strike(targets.get(member.upstream().id()), now);
                 continue;
             }
             Target target = targets.computeIfAbsent(member.upstream().id(), id -> new Target());
@@ -129,17 +131,25 @@
                 target.closeIdle();
             }
             target.member = member;
+            target.listed = true;
             if (member.upstream().state() == State.READY) {
                 target.toldOff = Double.NaN;
             } else {
                 tellOff(target, now);
             }
         }
-        left.values().forEach(target -> tellOff(target, now));
+        left.values().forEach(target -> strike(target, now));
+    }
+
+    private static void strike(Target target, double now) {
+        if (target != null) {
+            target.listed = false;
+            tellOff(target, now);
+        }
     }
 
     private static void tellOff(Target target, double now) {
-        if (target != null && Double.isNaN(target.toldOff)) {
+        if (Double.isNaN(target.toldOff)) {
             target.toldOff = now;
             target.closeIdle();
         }
@@ -183,8 +193,12 @@
         }
         // Whoever left long ago and holds nothing need not be remembered.
         double grace = settings.rules().drainGrace();
-        targets.values().removeIf(t -> t.member.upstream().state() != State.DRAINING
-                && t.toldOff < clock.now() - 2 * grace && t.idle.isEmpty());
+        targets.values().removeIf(t -> !t.listed && t.toldOff < clock.now() - 2 * grace && t.idle.isEmpty());
+    }
+
+    /** How many upstreams it knows; for tests. */
+    int known() {
+        return targets.size();
     }
 
     /**
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -6,11 +6,17 @@
 
 import cranedeal.LoadBalancer.Change;
 import cranedeal.LoadBalancer.Result;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -395,6 +401,37 @@
         return upstream;
     }
 
+    /** A release replaces every upstream: first it drains, then it is gone. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anUpstreamThatIsGoneIsForgotten(boolean full) throws Exception {
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Path file = Files.createTempFile("node", ".json");
+        try (Stage stage = new Stage()) {
+            stage.drainGrace = 50;
+            Files.writeString(file, stage.config());
+            NodeConfig config = NodeConfig.read(file.toString());
+            UpstreamClient client = new UpstreamClient(loop, new Clock(), config.settings(),
+                    new Sockets(1_024), ByteBufAllocator.DEFAULT);
+            String draining = Stage.entry(0, "127.0.0.1:1", "draining");
+            String up = Stage.entry(1, "127.0.0.1:2", "up");
+            for (String list : new String[] {Stage.roster(1, true, draining, up),
+                full ? Stage.roster(2, true, up)
+                        : Stage.roster(2, false, "{\"id\":\"s-00000000\",\"state\":\"removed\"}")}) {
+                Roster roster = Roster.parse(NodeConfig.JSON.readTree(list), config.zones(), config.kinds());
+                loop.submit(() -> client.update(roster)).sync();
+            }
+            long giveUpAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Peer.PATIENCE_MS);
+            while (loop.submit(client::known).sync().getNow() > 1 && System.nanoTime() < giveUpAt) {
+                Thread.sleep(10);
+            }
+            assertEquals(1, loop.submit(client::known).sync().getNow());
+        } finally {
+            Files.delete(file);
+            loop.parent().shutdownGracefully();
+        }
+    }
+
     /** Answers the node's first watch with a whole list of one upstream. */
     private static Peer tell(Stage stage, String entry) throws Exception {
         Script.next(stage.script.changes);
