Read no further from a caller that leaves its answers unread

Answers to requests sent ahead piled up in memory for as long as the caller sent more, and the last answer on a connection was waited for without a bound.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -59,6 +59,8 @@
     private static final double TELL_EVERY_MS = 10_000;
     /** How long a caller that was answered for the last time may go on sending. */
     private static final long LINGER_MS = 500;
+    /** How long it may take to read that answer. */
+    private static final long UNREAD_MS = 5_000;
 
     private final EventLoop loop;
     private final NodeConfig config;
@@ -189,7 +191,7 @@
         private final RequestAggregator whole;
         /** Since when it has stood without a request; for a request that has begun to come, when that was. */
         private double since = node.now();
-        private boolean begun;
+        private boolean coming;
         private boolean served;
         /** Whether nothing more is read as a request: where the last one ends may be in doubt. */
         private boolean ended;
@@ -220,8 +222,8 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             // The first request has its time from the start, however little of it comes.
-            if (served && partial() != begun) {
-                begun = !begun;
+            if (served && partial() != coming) {
+                coming = !coming;
                 since = node.now();
             }
             ctx.fireChannelReadComplete();
@@ -243,9 +245,11 @@
             if (ended) {
                 return;
             }
-            // An answer to another method may have no body, and is no place to go on from.
+            // An answer to another method may have no body, and is no place to go on from. Answers that pile
+            // up unread would take the memory of all.
             ended = !request.decoderResult().isSuccess() || !HttpUtil.isKeepAlive(request)
-                    || !isGet(request) && !isPost(request) || ahead.size() == MAX_AHEAD - 1;
+                    || !isGet(request) && !isPost(request)
+                    || ahead.size() == MAX_AHEAD - 1 || !channel.isWritable();
             if (current == null) {
                 handle(request.retain());
             } else {
@@ -311,6 +315,7 @@
             connections.add(this);
             if (closing && ahead.isEmpty()) {
                 channel.writeAndFlush(response).addListener(written -> linger());
+                loop.schedule(() -> channel.close(), UNREAD_MS, TimeUnit.MILLISECONDS);
                 return;
             }
             channel.writeAndFlush(response);
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.Socket;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -347,4 +349,30 @@
             assertEquals("served", caller.read().body());
         }
     }
+
+    @Test
+    void aCallerThatDoesNotReadItsAnswersGetsNoMore() throws Exception {
+        // More answers than the buffers on the way can hold, with one end as small as can be.
+        int rounds = 400;
+        int many = 1_000;
+        int answered = 0;
+        try (Stage stage = new Stage().start(); Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(1_024);
+            socket.connect(stage.node.address());
+            Peer caller = new Peer(socket);
+            String requests = HEALTH.repeat(many);
+            try {
+                for (int i = 0; i < rounds; i++) {
+                    caller.write(requests);
+                }
+                while (caller.read() != null) {
+                    answered++;
+                }
+            } catch (IOException | RuntimeException e) {
+                // Cut off, maybe inside an answer.
+            }
+            assertTrue(answered < rounds * many, answered + " were answered");
+            stage.servesStill();
+        }
+    }
 }
