Let a watch on the list wait 3 s, so that one fallen silent is soon replaced

In the logs of all nodes (trace) every watch that began at the start brings nothing and ends as failed after 21.5 s, as a call was given 20 s and 1.5 s more; until 24 s each balancer draws among four upstreams of which three are gone.

Ruled out: discovery being down or full (one 503 among nine nodes in that time; a call after 24 s is answered within 0.3 s), and the module, which asks again as soon as it is told of the failure. At fault was Discovery.WATCH_MS: silence looks like no news until the wait is over.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -36,10 +36,14 @@
 
     private static final int MAX_LIST = 4 * 1024 * 1024;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    /** How long a watch may wait for news: each new call costs discovery work. */
-    static final int WATCH_MS = 20_000;
-    /** How long after that an answer may still be under way; what was not told by then counts as told. */
-    private static final int LATE_MS = 1_500;
+    /**
+     * How long a watch may wait for news. One that has fallen silent looks like one with no news until it is
+     * over, and what discovery wrote counts as told 6 s later: it must be over, and time be left to ask
+     * again, before that. Going on with a watch costs discovery next to nothing.
+     */
+    static final int WATCH_MS = 3_000;
+    /** How long after that an answer may still be under way. */
+    static final int LATE_MS = 1_500;
 
     /** What the list is told to. */
     interface Listener {
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -21,6 +21,10 @@
 @Timeout(60)
 class DiscoveryTest {
 
+    /** What discovery wrote counts as told after this time, whether it arrived or not. */
+    private static final int COUNTS_AS_TOLD_MS = 6_000;
+    private static final int TO_ASK_AGAIN_MS = 1_000;
+
     private final Stage stage = new Stage();
 
     DiscoveryTest() throws IOException {
@@ -37,16 +41,16 @@
         try (stage) {
             started();
             Peer watch = stage.discovery.accept();
-            assertEquals("GET /catalog/members?index=41&wait=20000 HTTP/1.1", watch.read().first());
+            assertEquals("GET /catalog/members?index=41&wait=3000 HTTP/1.1", watch.read().first());
             watch.write(Stage.ok(Stage.roster(45, false, Stage.entry(0, "127.0.0.1:1", "draining"))));
             assertEquals(Change.DELTA, Script.next(stage.script.changes));
-            assertEquals("GET /catalog/members?index=45&wait=20000 HTTP/1.1", watch.read().first());
+            assertEquals("GET /catalog/members?index=45&wait=3000 HTTP/1.1", watch.read().first());
             watch.write(Stage.ok(Stage.roster(46, false)));
             assertEquals(Change.DELTA, Script.next(stage.script.changes));
-            assertEquals("GET /catalog/members?index=46&wait=20000 HTTP/1.1", watch.read().first());
+            assertEquals("GET /catalog/members?index=46&wait=3000 HTTP/1.1", watch.read().first());
             watch.write(Stage.ok(Stage.roster(47, false, "{\"id\":\"s-00000000\",\"state\":\"removed\"}")));
             assertEquals(Change.DELTA, Script.next(stage.script.changes));
-            assertEquals("GET /catalog/members?index=47&wait=20000 HTTP/1.1", watch.read().first());
+            assertEquals("GET /catalog/members?index=47&wait=3000 HTTP/1.1", watch.read().first());
         }
     }
 
@@ -75,7 +79,7 @@
                 stage.script.actions.watch(true);
             };
             stage.caller().write(Stage.get("again", "10"));
-            assertEquals("GET /catalog/members?index=41&wait=20000 HTTP/1.1",
+            assertEquals("GET /catalog/members?index=41&wait=3000 HTTP/1.1",
                     stage.discovery.accept().read().first());
         }
     }
@@ -94,7 +98,7 @@
         try (stage) {
             stage.start(cranedeal.LatencyWeightedBalancer::new);
             stage.discovery.accept().reset();
-            assertEquals("GET /catalog/members?index=41&wait=20000 HTTP/1.1",
+            assertEquals("GET /catalog/members?index=41&wait=3000 HTTP/1.1",
                     stage.discovery.accept().read().first());
         }
     }
@@ -119,6 +123,16 @@
         }
     }
 
+    @Test
+    void aSilentWatchIsOverBeforeItsNewsCountAsTold() throws Exception {
+        try (stage) {
+            started();
+            String asked = stage.discovery.accept().read().first();
+            int wait = Integer.parseInt(asked.replaceAll(".*&wait=(\\d+) .*", "$1"));
+            assertTrue(wait + Discovery.LATE_MS + TO_ASK_AGAIN_MS <= COUNTS_AS_TOLD_MS, asked);
+        }
+    }
+
     @Test
     void theWholeListIsAskedForOnItsOwn() throws Exception {
         try (stage) {
