Bound calls in flight by what an upstream serves, and wait for room in a better one

Once it was bounded, requests fled to an upstream that answered 500 within 5 ms: it always has room.

At fault was draw(): nothing there knew how much a server can serve. Calls in flight over calls served in a second are the time that each takes (Little's law), so more than a third of the aim's worth of them is not sent. Where the server drawn has no room, another may take the call if its l is no more than four times as high; otherwise the request waits, each wait a sign of overload, and is refused once it is strained.

--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -38,6 +38,8 @@
     double restsUntil = Double.NEGATIVE_INFINITY;
     /** When an answer stops being worth its work. */
     double usefulEnd;
+    /** The greatest l of a server that it may go to while one that it was drawn to has no room. */
+    double worst = Double.MAX_VALUE;
     int running;
     boolean done;
     boolean streaming;
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -58,6 +58,14 @@
     private static final double CONNECTION = 200;
     /** Growth of a server's l with the pressure of a class bound there, for those that may go elsewhere. */
     private static final double RELIEF = 40;
+    /** Share of the aim that the calls in flight at a server may take together; beyond it crowds jam. */
+    private static final double ROOM = 0.35;
+    /** Own calls in flight that any server may have, also one of which little was seen. */
+    private static final int LEAST_ROOM = 3;
+    /** Ms over which the calls that a new server has served are taken to have come, at the least. */
+    private static final double LEAST_SEEN = 2_000;
+    /** How many times the l of a server without room another's may be to take the call instead. */
+    private static final double NOT_MUCH_WORSE = 4;
     /** Share of calls slower than the delay after which a second copy or attempt is worth its work. */
     private static final double SLOW_SHARE = 0.05;
     /** Step of the quantile estimate behind that delay, relative to its value. */
@@ -169,12 +177,19 @@
 
     /**
      * Sends the next attempt. A request that never ran is held while it waits for its turn, or for a server
-     * that is ready, open to it and warm enough; it is refused as soon as that cannot end in time.
+     * that is ready, open to it, warm enough and not full; it is refused as soon as that cannot end in time,
+     * and where those worth going to are full, once it is strained.
      */
     private void dispatch(Call call, double now) {
         double latest = call.usefulEnd - TOO_LATE * expected(call) - ahead(call);
         boolean itsTurn = call.line == null || call.line.peekFirst() == call;
         Server server = itsTurn && now < latest ? draw(call, true, now) : null;
+        if (server == null && call.worst < Double.MAX_VALUE) {
+            latest = Math.min(latest, call.arrivedAt + STRAINED * call.type.aim());
+            if (settings.tier() == 0) {
+                feelPressure(call.record.leader, false, now);
+            }
+        }
         if (server != null) {
             send(call, server, now);
         } else if (now < latest && call.attempts.isEmpty()) {
@@ -266,19 +281,44 @@
 
     /**
      * A ready server at random in proportion to 1/l, or null if none may be used; one that the request has
-     * tried only when all have been tried and nothing is out.
+     * tried only when all have been tried and nothing is out. Where the one drawn can't take a call now,
+     * another may that is not much worse; otherwise the request is to wait, since those that fail what they
+     * get always have room.
      */
     private Server draw(Call call, boolean untried, double now) {
-        double total = 0;
         double tries = 0;
+        boolean any = false;
         for (Server server : ready) {
             tries += server.tries;
             boolean usable = mayGoTo(call, server, now) && !(untried && call.tried(server))
-                    && (server.coldBudget >= 1 || warmth(server, now) >= 1);
+                    && atRest(server, call, now) <= call.worst;
             server.weight = usable ? 1 / cost(server, call, now) : 0;
-            total += server.weight;
+            any |= usable;
         }
         evidence = tries / Math.max(1, ready.size());
+        if (!any) {
+            boolean again = untried && call.running == 0 && call.worst == Double.MAX_VALUE;
+            return again ? draw(call, false, now) : null;
+        }
+        Server drawn = drawByWeight();
+        if (isOpen(drawn, call, now)) {
+            return drawn;
+        }
+        call.worst = Math.min(call.worst, NOT_MUCH_WORSE * atRest(drawn, call, now));
+        for (Server server : ready) {
+            if (server.weight > 0 && (!isOpen(server, call, now) || atRest(server, call, now) > call.worst)) {
+                server.weight = 0;
+            }
+        }
+        return drawByWeight();
+    }
+
+    /** A server at random in proportion to its weight; null if none has any. */
+    private Server drawByWeight() {
+        double total = 0;
+        for (Server server : ready) {
+            total += server.weight;
+        }
         double point = random.nextDouble() * total;
         Server drawn = null;
         for (Server server : ready) {
@@ -287,15 +327,36 @@
                 point -= server.weight;
             }
         }
-        return drawn == null && untried && call.running == 0 ? draw(call, false, now) : drawn;
+        return drawn;
     }
 
-    /** The server's l for this request. */
-    private double cost(Server server, Call call, double now) {
+    /** Whether it can take a call now. */
+    private boolean isOpen(Server server, Call call, double now) {
+        return (server.coldBudget >= 1 || warmth(server, now) >= 1) && hasRoom(server, call, now);
+    }
+
+    /**
+     * Whether one call more would be served in good time there. By Little's law the calls in flight over
+     * those served in a second are the time that each takes, known before any of them is late.
+     */
+    private static boolean hasRoom(Server server, Call call, double now) {
+        server.fade(now, EVIDENCE_FADE, FADE_STEP);
+        double seen = Math.max(LEAST_SEEN, now - server.knownSince);
+        double window = EVIDENCE_FADE * (1 - Math.exp(-seen / EVIDENCE_FADE));
+        return server.out.size() < Math.max(LEAST_ROOM, server.served / window * ROOM * call.type.aim());
+    }
+
+    /** The server's l for a request of this class while it has no call in hand. */
+    private double atRest(Server server, Call call, double now) {
         server.fade(now, EVIDENCE_FADE, FADE_STEP);
-        double l = server.base(BASE_POOL) * call.record.latency.value();
         double success = server.success(call.record.index, SUCCESS_POOL, CLASS_POOL);
-        l += call.type.aim() * (1 / Math.max(SUCCESS_FLOOR, success) - 1);
+        return server.base(BASE_POOL) * call.record.latency.value()
+                + call.type.aim() * (1 / Math.max(SUCCESS_FLOOR, success) - 1);
+    }
+
+    /** The server's l for this request. */
+    private double cost(Server server, Call call, double now) {
+        double l = atRest(server, call, now);
         l *= 1 + IN_FLIGHT * server.out.size();
         if (!server.out.isEmpty()) {
             Attempt oldest = server.out.peekFirst();
@@ -380,6 +441,7 @@
             timeout = GIVE_UP * slowAfter;
         }
         call.attempts.add(attempt);
+        call.worst = Double.MAX_VALUE;
         call.running++;
         server.out.addLast(attempt);
         if (warmth(server, now) < 1) {
--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -36,6 +36,8 @@
     double crowdedUntil = Double.NEGATIVE_INFINITY;
     /** Scratch for one draw. */
     double weight;
+    /** Since when there is evidence of it. */
+    final double knownSince;
     private double fadedAt;
 
     Server(LoadBalancer.Upstream listed, Kind kind, int classes, double now, double coldBudget) {
@@ -45,6 +47,7 @@
         this.kind = kind;
         this.coldBudget = coldBudget;
         fadedAt = now;
+        knownSince = now;
     }
 
     /** Lets all evidence fade with the given time constant, at most once a step. */
