Take a wait for room as one sign of overload, however long it is

Ruled out: time-outs of the sick upstream (2 to 5 in all that time) and lost capacity (the same upstreams serve three times as much once the pressure falls). At fault were the lines in dispatch() that took each of a wait's looks, one in 20 ms, for a sign: a single request that waits raised the share refused by 0.9 a second.

--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -40,6 +40,8 @@
     double usefulEnd;
     /** The greatest l of a server that it may go to while one that it was drawn to has no room. */
     double worst = Double.MAX_VALUE;
+    /** Whether it has waited for room. */
+    boolean waited;
     int running;
     boolean done;
     boolean streaming;
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -186,9 +186,11 @@
         Server server = itsTurn && now < latest ? draw(call, true, now) : null;
         if (server == null && call.worst < Double.MAX_VALUE) {
             latest = Math.min(latest, call.arrivedAt + STRAINED * call.type.aim());
-            if (settings.tier() == 0) {
+            // One sign when the wait begins and one if it is in vain: it says no more by being long.
+            if (settings.tier() == 0 && (!call.waited || now >= latest)) {
                 feelPressure(call.record.leader, false, now);
             }
+            call.waited = true;
         }
         if (server != null) {
             send(call, server, now);
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -461,6 +461,24 @@
         assertEquals(400 - before - sent - 1, bench.refused.size());
     }
 
+    @Test
+    void aWaitForRoomIsOneSignOfOverloadHoweverLong() {
+        Bench bench = new Bench(Sites.plain().lateWorth(0).repeat(Repeat.AT_MOST_ONCE).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1));
+        for (int i = 0; i < 4; i++) {
+            bench.request(i, 0);
+        }
+        assertEquals(3, bench.sends.size());
+        bench.advance(400);
+        List.copyOf(bench.sends).forEach(sent -> bench.finish(sent, Result.OK));
+        bench.advance(20);
+        assertEquals(3, bench.lastSend().request());
+        // When to return tells the pressure: one sign stands for a quarter of a second at the most.
+        bench.request(4, 0, bench.now, 0);
+        assertEquals(List.of(4L), bench.refused);
+        assertTrue(bench.retryAfter < 150, "after " + bench.retryAfter);
+    }
+
     @Test
     void requestsWaitForAFullServerRatherThanGoToAFailingOne() {
         Bench bench = new Bench(Sites.plain().lateWorth(0).repeat(Repeat.AT_MOST_ONCE).build(), 1);
