Let cold upstreams earn their calls from what is refused too, or shedding starves them

Ruled out: their weight in the draw (with the upstreams beside them full they are drawn, but have no budget) and a bigger margin (taken as 1 since the part is capped, no gain). At fault was the order in request(): earnColdBudget() came behind shed(), so that the budget fell with what was accepted, and the less the cold ones took, the more was refused. First tries now earn before that. Clients' repeats of what was refused are no demand; where they are not marked, only accepted requests count, as before, and no more than before can reach a cold upstream in a calm fleet.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -163,11 +163,19 @@
         double stretched = call.type.aim() + call.type.aimStretch() * request.cost();
         double aim = now + Math.min(call.type.deadline(), stretched);
         call.usefulEnd = call.type.lateWorth() > 0 ? request.deadline() : Math.min(request.deadline(), aim);
+        // What is refused is demand too, or refusing would starve those that could take it; but clients'
+        // repeats of it are not, and where nobody tells them apart only accepted requests count.
+        boolean toldApart = settings.retriesMarked();
+        if (toldApart && !request.retry()) {
+            earnColdBudget(call, now);
+        }
         if (shed(call)) {
             answerUnserved(call, now);
             return;
         }
-        earnColdBudget(call, now);
+        if (!toldApart) {
+            earnColdBudget(call, now);
+        }
         if (call.type.inOrder() && request.key() != 0) {
             call.line = lines.computeIfAbsent(request.key(), key -> new ArrayDeque<>());
             call.line.addLast(call);
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -313,6 +313,28 @@
         assertTrue(toCold < 0.2 * 3 * 1_100 / 3.2, "sent to the cold server: " + toCold);
     }
 
+    @Test
+    void aColdServerIsNotStarvedWhileWorkIsRefused() {
+        Bench bench = new Bench(Sites.plain().lateWorth(0).repeat(Repeat.AT_MOST_ONCE).retriesMarked(true)
+                .build(), 4);
+        bench.list(Change.CACHED, Sites.server(1).startedAt(NOW), Sites.server(2), Sites.server(3));
+        int toCold = 0;
+        Bench.Sent done = null;
+        for (int i = 0; i < 400; i++) {
+            bench.request(i, 0);
+            // The warm ones answer nothing more.
+            if (bench.lastSend() != done && bench.lastSend().upstream() == 1) {
+                done = bench.lastSend();
+                toCold++;
+                bench.finish(done, Result.OK);
+            }
+            bench.advance(5);
+        }
+        assertTrue(bench.refused.size() > 200, bench.refused.size() + " refused");
+        // At 0.2 to 0.36 of its capacity: 0.9 of that, of the requests that come for two warm ones.
+        assertTrue(toCold > 25 && toCold < 60, "sent to the cold server: " + toCold);
+    }
+
     @Test
     void aRestartedServerIsColdAgain() {
         Bench bench = new Bench(Sites.plain().tier(1).build(), 4);
--- a/src/test/java/cranedeal/Sites.java
+++ b/src/test/java/cranedeal/Sites.java
@@ -87,6 +87,7 @@
         private double crossZone;
         private double connection;
         private boolean inOrder;
+        private boolean retriesMarked;
         private List<Integer> onlyZones;
         private List<Integer> onlyKinds;
 
@@ -163,6 +164,11 @@
             return this;
         }
 
+        Builder retriesMarked(boolean value) {
+            retriesMarked = value;
+            return this;
+        }
+
         Builder connection(double value) {
             connection = value;
             return this;
@@ -174,7 +180,8 @@
                             streamed, inOrder, onlyZones, onlyKinds),
                     new ServiceClass("second", AIM, 0, DEADLINE, 1, lateWorth, repeat, group, memory,
                             streamed, inOrder, null, null));
-            return new Settings(position, siblings, tier, 3, 0, 2, 2, subscribe, true, false, false, false,
+            return new Settings(position, siblings, tier, 3, 0, 2, 2, subscribe, true, false,
+                    retriesMarked, false,
                     0.1, WeightKind.NONE, Reports.NONE, List.of(), classes, List.of(),
                     new Limits(4, 1_000, true, parallel, false, false, true, 2_000, 100, 30_000, 1, 0,
                             800_000),
