Provide for SIGHUP and SIGTERM before a balancer serves

DrainTest.sighupMovesTheWatchToWhereDiscoveryIsNow failed once, while two builds ran side by side: no connection came to where discovery had moved. Ruled out: the file (it is written whole before each signal) and the watch (whatever state it is in, its next call goes to the new address). At fault was the order in Main.serve(): the handler was set after Node.start() had returned, so a SIGHUP that came while the first request was already served ended the virtual machine. Both signals are now provided for first; a SIGHUP that comes before waits for the start, and a SIGTERM then has nothing to drain. The same test covers it; the gap was too short to hit on purpose.

--- a/src/main/java/cranedeal/node/Main.java
+++ b/src/main/java/cranedeal/node/Main.java
@@ -1,6 +1,7 @@
 package cranedeal.node;
 
 import java.lang.reflect.Proxy;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
 
@@ -22,23 +23,27 @@
     }
 
     private static void serve() throws InterruptedException {
-        Node node = null;
+        // Whoever sees it serve may send signals, so they are provided for before it does.
+        CompletableFuture<Node> started = new CompletableFuture<>();
+        drainAtShutdown(started);
+        reloadAtHangup(started);
         try {
-            node = Node.start(NodeConfig.read(System.getenv("PROXY_CONFIG")));
+            started.complete(Node.start(NodeConfig.read(System.getenv("PROXY_CONFIG"))));
         } catch (ConfigException e) {
             exit("sablehinge: " + e.getMessage(), 1);
         }
-        drainAtShutdown(node);
-        reloadAtHangup(node);
         // The node's own threads are daemons, so that the end of the shutdown hook ends the process.
         new CountDownLatch(1).await();
     }
 
     /** SIGTERM starts the hook, and the virtual machine lives on until the hook returns. */
-    private static void drainAtShutdown(Node node) {
+    private static void drainAtShutdown(CompletableFuture<Node> started) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
-                node.drain();
+                Node node = started.getNow(null);
+                if (node != null) {
+                    node.drain();
+                }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -49,13 +54,13 @@
      * Without a handler of its own, SIGHUP would end the virtual machine. Only sun.misc.Signal can set one,
      * and the compiler takes no mention of that without a warning, so it is looked up.
      */
-    private static void reloadAtHangup(Node node) {
+    private static void reloadAtHangup(CompletableFuture<Node> started) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object reload = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
                     (proxy, method, arguments) -> {
-                        reload(node);
+                        reload(started.join());
                         return null;
                     });
             signal.getMethod("handle", signal, handler).invoke(null,
