Wait where no server that may be drawn has any weight

Found by reading: an upstream that starts with no capacity at all and is listed a moment before its own clock says it started has an infinite l, so that no server is drawn though one may be, and the look at the drawn one's room broke off. In draw() nobody drawn is now the same as nobody open, as before: the request waits, and is refused in time.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -311,7 +311,7 @@
             return again ? draw(call, false, now) : null;
         }
         Server drawn = drawByWeight();
-        if (isOpen(drawn, call, now)) {
+        if (drawn == null || isOpen(drawn, call, now)) {
             return drawn;
         }
         call.worst = Math.min(call.worst, NOT_MUCH_WORSE * atRest(drawn, call, now));
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -840,6 +840,18 @@
 
     // ---- Rule 4 when nothing is warm -----------------------------------------------------------------
 
+    @Test
+    void aServerTrustedWithNothingYetIsWaitedFor() {
+        // Its clock is a little ahead, and servers of this site start with no capacity at all.
+        Bench bench = new Bench(Sites.plain().startCapacity(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1).startedAt(NOW + 50));
+        bench.request(1, 0);
+        assertTrue(bench.isOpen(1));
+        assertEquals(List.of(), bench.sends);
+        bench.advance(Sites.DEADLINE);
+        assertEquals(List.of(1L), bench.refused);
+    }
+
     @Test
     void aFleetThatIsColdAsAWholeIsNotLeftIdle() {
         Bench bench = new Bench(Sites.plain().tier(1).build(), 4);
--- a/src/test/java/cranedeal/Sites.java
+++ b/src/test/java/cranedeal/Sites.java
@@ -88,6 +88,7 @@
         private double connection;
         private boolean inOrder;
         private boolean retriesMarked;
+        private double startCapacity = 0.2;
         private List<Integer> onlyZones;
         private List<Integer> onlyKinds;
 
@@ -169,6 +170,11 @@
             return this;
         }
 
+        Builder startCapacity(double value) {
+            startCapacity = value;
+            return this;
+        }
+
         Builder connection(double value) {
             connection = value;
             return this;
@@ -185,7 +191,7 @@
                     0.1, WeightKind.NONE, Reports.NONE, List.of(), classes, List.of(),
                     new Limits(4, 1_000, true, parallel, false, false, true, 2_000, 100, 30_000, 1, 0,
                             800_000),
-                    new Rules(20, 500, 10_000, 0.2, 10_000, 3, 1_500, 100),
+                    new Rules(20, 500, 10_000, startCapacity, 10_000, 3, 1_500, 100),
                     new Goal(0.6, 0.2, 0.2, 0, 0, 0, 0, 0),
                     new Prices(crossZone, 0, 0.02, 0.03, connection, 0, 0, 0));
         }
