Count how requests end, attempts, upstreams and reloads in one registry

Each figure is fed where its event happens: the final answer whoever words it, an attempt's last byte, a request's end, a list that was taken in; the module tells what it avoids. Not taken: counters in each class, gathered on demand; they would have to be read off the node's loop, behind the traffic.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -721,6 +721,11 @@
         chooseSubset();
     }
 
+    @Override
+    public int avoided() {
+        return servers.size() - ready.size();
+    }
+
     /**
      * Every so many-th server in an order by zone and machine type, each sibling beginning at its own place:
      * a subset is a small picture of the fleet, and every server is in as many subsets as the others. Each
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -21,6 +21,11 @@
      */
     void upstreamsChanged(double now, Change change, List<Upstream> upstreams);
 
+    /** How many listed upstreams get no request now. */
+    default int avoided() {
+        return 0;
+    }
+
     /** A request has arrived; the instance now owes it exactly one final answer. */
     void request(double now, Request request);
 
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -21,6 +21,8 @@
     }
 
     final long id;
+    private final String serviceClass;
+    private final Figures figures;
     final FullHttpRequest request;
     final double deadline;
     final List<UpstreamClient.Attempt> attempts = new ArrayList<>(2);
@@ -30,11 +32,15 @@
     Future<?> overdue;
     private Caller caller;
 
-    Exchange(long id, FullHttpRequest request, double deadline, Caller caller) {
+    Exchange(long id, String serviceClass, FullHttpRequest request, double deadline, Caller caller,
+            Figures figures) {
         this.id = id;
+        this.serviceClass = serviceClass;
+        this.figures = figures;
         this.request = request;
         this.deadline = deadline;
         this.caller = caller;
+        figures.taken();
     }
 
     boolean isOpen() {
@@ -48,12 +54,16 @@
             return false;
         }
         close();
+        figures.answered(serviceClass, status);
         waiting.answer(status, body, retryAfter);
         return true;
     }
 
     /** Nobody waits for an answer any more. */
     void close() {
+        if (caller != null) {
+            figures.ended();
+        }
         caller = null;
         if (overdue != null) {
             overdue.cancel(false);
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -58,6 +58,7 @@
     private final UpstreamClient upstreams;
     private final Discovery discovery;
     private final Frontend frontend;
+    private final Figures figures = new Figures();
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private long lastId;
@@ -75,9 +76,10 @@
                 CACHED, false);
         Sockets sockets = new Sockets(config.sockets());
         balancer = module.apply(this);
-        upstreams = new UpstreamClient(loop, clock, config.settings(), sockets, memory);
+        upstreams = new UpstreamClient(loop, clock, config.settings(), sockets, figures, memory);
         discovery = new Discovery(loop, config, memory, this::told, Discovery.WATCH_MS);
         frontend = new Frontend(loop, config, sockets, memory, this);
+        figures.show(config.classes());
     }
 
     static Node start(NodeConfig config) throws ConfigException, InterruptedException {
@@ -99,7 +101,7 @@
         Roster known = new Roster(config.known().version(), true, config.known().members());
         upstreams.update(known);
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
-        tell(null, () -> balancer.upstreamsChanged(clock.now(), Change.CACHED, entries(known)));
+        tell(null, () -> listChanged(Change.CACHED, entries(known)));
     }
 
     private static List<Upstream> entries(Roster roster) {
@@ -108,6 +110,11 @@
         return entries;
     }
 
+    /** The figures, a line each; any thread may ask. */
+    String stats() {
+        return figures.text();
+    }
+
     /** Where it listens. */
     InetSocketAddress address() {
         return frontend.address();
@@ -203,13 +210,19 @@
         if (roster != null) {
             upstreams.update(roster);
         }
-        tell(null, () -> balancer.upstreamsChanged(clock.now(), change, entries));
+        tell(null, () -> listChanged(change, entries));
+    }
+
+    private void listChanged(Change change, List<Upstream> entries) {
+        balancer.upstreamsChanged(clock.now(), change, entries);
+        figures.upstreams(upstreams.listed(), balancer.avoided());
     }
 
     /** Takes a request in; the node owns a reference to {@code message} from here on. */
     Exchange request(Function<Long, Request> description, FullHttpRequest message, Exchange.Caller caller) {
         Request request = description.apply(++lastId);
-        Exchange exchange = new Exchange(request.id(), message, request.deadline(), caller);
+        Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()), message,
+                request.deadline(), caller, figures);
         exchanges.put(exchange.id, exchange);
         double latest = exchange.deadline + config.settings().rules().answerGrace() / 2;
         exchange.overdue = loop.schedule(() -> overdue(exchange), clock.nanosUntil(latest),
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -63,6 +63,7 @@
     private final Clock clock;
     private final Settings settings;
     private final Sockets sockets;
+    private final Figures figures;
     private final Bootstrap bootstrap;
     private final Map<Long, Target> targets = new HashMap<>();
     /** How long connections may have been idle for another use, as resets have taught; and when they did. */
@@ -76,11 +77,13 @@
     private int unreadable;
     private double toldAt = Double.NEGATIVE_INFINITY;
 
-    UpstreamClient(EventLoop loop, Clock clock, Settings settings, Sockets sockets, ByteBufAllocator memory) {
+    UpstreamClient(EventLoop loop, Clock clock, Settings settings, Sockets sockets, Figures figures,
+            ByteBufAllocator memory) {
         this.loop = loop;
         this.clock = clock;
         this.settings = settings;
         this.sockets = sockets;
+        this.figures = figures;
         int connectTimeout = (int) Math.max(1, settings.limits().connectTimeout());
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
@@ -160,7 +163,12 @@
      * used until the listener has been called.
      */
     Attempt send(long upstream, FullHttpRequest request, double until, Listener listener) {
-        Attempt attempt = new Attempt(request, until, listener);
+        return send(upstream, request, false, until, listener);
+    }
+
+    private Attempt send(long upstream, FullHttpRequest request, boolean probe, double until,
+            Listener listener) {
+        Attempt attempt = new Attempt(request, probe, until, listener);
         attempt.start(targets.get(upstream));
         return attempt;
     }
@@ -169,7 +177,7 @@
     void probe(long upstream, double until, Listener listener) {
         String path = settings.reportFields().isEmpty() ? "/ping" : "/_load";
         send(upstream, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
-                Unpooled.EMPTY_BUFFER), until, listener);
+                Unpooled.EMPTY_BUFFER), true, until, listener);
     }
 
     void closeIdle(long upstream) {
@@ -196,6 +204,11 @@
         targets.values().removeIf(t -> !t.listed && t.toldOff < clock.now() - 2 * grace && t.idle.isEmpty());
     }
 
+    /** How many upstreams the list has. */
+    int listed() {
+        return (int) targets.values().stream().filter(target -> target.listed).count();
+    }
+
     /** How many upstreams it knows; for tests. */
     int known() {
         return targets.size();
@@ -241,6 +254,7 @@
     final class Attempt {
 
         private final FullHttpRequest request;
+        private final boolean probe;
         private final double until;
         private final Listener listener;
         private final Future<?> expiry;
@@ -251,8 +265,9 @@
         private boolean written;
         private boolean over;
 
-        private Attempt(FullHttpRequest request, double until, Listener listener) {
+        private Attempt(FullHttpRequest request, boolean probe, double until, Listener listener) {
             this.request = request;
+            this.probe = probe;
             this.until = until;
             this.listener = listener;
             expiry = loop.schedule(this::expire, clock.nanosUntil(until), TimeUnit.NANOSECONDS);
@@ -309,6 +324,8 @@
                 written = write.isSuccess();
                 if (!written) {
                     broke();
+                } else if (!probe) {
+                    figures.dispatched();
                 }
             });
         }
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -412,7 +412,7 @@
             Files.writeString(file, stage.config());
             NodeConfig config = NodeConfig.read(file.toString());
             UpstreamClient client = new UpstreamClient(loop, new Clock(), config.settings(),
-                    new Sockets(1_024), ByteBufAllocator.DEFAULT);
+                    new Sockets(1_024), new Figures(), ByteBufAllocator.DEFAULT);
             String draining = Stage.entry(0, "127.0.0.1:1", "draining");
             String up = Stage.entry(1, "127.0.0.1:2", "up");
             for (String list : new String[] {Stage.roster(1, true, draining, up),
