Open a door for operators: readiness, figures, and a drain by hand

DoorTest has each call, silent callers beside it, a node too busy for an order, and a drain undone twice. The environment's address goes before the file's, as two processes may read one file.

--- a/src/main/java/cranedeal/node/Door.java
+++ b/src/main/java/cranedeal/node/Door.java
@@ -39,14 +39,14 @@
 
     /** Connections at a time; the descriptors for them are set aside. */
     static final int CONNECTIONS = 16;
+    /** These, the one that is just accepted, the listening socket and the selector. */
+    static final int DESCRIPTORS = CONNECTIONS + 8;
     /** How long a caller has for its call, and how long it may take to read the answer. */
     private static final long PATIENCE_MS = 2_000;
     /** Answers are owed in 1 s: an order that the node has not begun by then is withdrawn. */
     private static final long ORDER_MS = 900;
     private static final int LONGEST_BODY = 4_096;
     private static final String OPS = "/ops/";
-    private static final String DOWN = "upstreams/down/";
-    private static final String UP = "upstreams/up/";
 
     /** What operators can ask of a balancer; the orders run on its loop, the rest on the door's. */
     interface Operations {
@@ -60,9 +60,6 @@
         void startDrain();
 
         void stopDrain();
-
-        /** Takes an upstream out of use or puts it back; false for an id that was never listed. */
-        boolean ban(String id, boolean banned) throws IOException;
     }
 
     private final Operations operations;
@@ -70,7 +67,7 @@
     private final EventLoop node;
     private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
             new DefaultThreadFactory("door", true), NioIoHandler.newFactory()).next();
-    /** The connections on which no whole call has come, the oldest first. */
+    /** The connections that no call is at work on, the oldest first. */
     private final Set<Channel> waiting = new LinkedHashSet<>();
     private int open;
     private Channel listening;
@@ -173,9 +170,7 @@
 
         private void serve(String call, HttpMethod method) {
             boolean asks = call.equals("readiness") || call.equals("stats");
-            String down = after(DOWN, call);
-            String up = after(UP, call);
-            if (!asks && !call.equals("drain/start") && !call.equals("drain/stop") && down == null && up == null) {
+            if (!asks && !call.equals("drain/start") && !call.equals("drain/stop")) {
                 answer(HttpResponseStatus.NOT_FOUND, "no such call\n");
             } else if (!method.equals(asks ? HttpMethod.GET : HttpMethod.PUT)) {
                 answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "another method is wanted\n");
@@ -185,7 +180,7 @@
                         taking ? "takes clients\n" : "takes no clients\n");
             } else if (call.equals("stats")) {
                 answer(HttpResponseStatus.OK, operations.stats());
-            } else if (call.startsWith("drain/")) {
+            } else {
                 order(() -> {
                     if (call.equals("drain/start")) {
                         operations.startDrain();
@@ -194,17 +189,9 @@
                     }
                     return true;
                 });
-            } else {
-                order(() -> operations.ban(down == null ? up : down, down != null));
             }
         }
 
-        /** The id that follows a prefix; null if there is none. */
-        private String after(String prefix, String call) {
-            return call.startsWith(prefix) && call.length() > prefix.length()
-                    ? call.substring(prefix.length()) : null;
-        }
-
         /** Has the node carry out an order, and answers once it has; a false result is a no to the id. */
         private void order(Callable<Boolean> order) {
             AtomicBoolean settled = new AtomicBoolean();
@@ -237,6 +224,7 @@
                     .set("Content-Length", response.content().readableBytes()).set("Connection", "close");
             // To close on bytes that are still coming in would reset the connection under the answer.
             channel.writeAndFlush(response).addListener(written -> channel.shutdownOutput());
+            waiting.add(channel);
             loop.schedule(() -> channel.close(), PATIENCE_MS, TimeUnit.MILLISECONDS);
         }
 
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -53,6 +53,8 @@
     private static final double PATIENCE_MS = 2_000;
     /** How long a connection that has been served may stand idle. */
     private static final double IDLE_MS = 10_000;
+    /** How long a connection is left alone in a drain for its first request to come. */
+    private static final double FRESH_MS = 250;
     /** Two of these after its patience is over, a connection is surely closed. */
     private static final long SWEEP_MS = 250;
     /** How often it is told that callers were turned down, where any were. */
@@ -72,6 +74,8 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listening;
     private boolean draining;
+    /** What the front hears when it asks how this balancer does. */
+    private HttpResponseStatus health = HttpResponseStatus.OK;
     /** Callers turned down since it was last told: for what they sent, and for what they did not send. */
     private int malformed;
     private int silent;
@@ -135,9 +139,16 @@
         return (InetSocketAddress) listening.localAddress();
     }
 
-    /** From now on every answer asks its caller to leave. */
-    void beginDrain() {
+    /** From now on every answer asks its caller to leave, and the front has the given answer. */
+    void beginDrain(HttpResponseStatus healthMeanwhile) {
         draining = true;
+        health = healthMeanwhile;
+    }
+
+    /** Callers may stay again. */
+    void stopDrain() {
+        draining = false;
+        health = HttpResponseStatus.OK;
     }
 
     /** Closes what is idle and tells whether nothing is left, so that the process may end. */
@@ -147,7 +158,7 @@
             // A request that lies unread in the kernel would be lost with its connection.
             Sockets.readNow(connection.channel);
             // Nor must one be cut off whose request is on its way in; it has its time, like any.
-            if (connection.isIdle() && !connection.partial()) {
+            if (connection.isIdle() && !connection.partial() && !connection.isFresh()) {
                 connection.channel.close();
             }
         }
@@ -215,6 +226,11 @@
             return whole.isPartial();
         }
 
+        /** Whether its first request may be just behind it, such as the front's question. */
+        boolean isFresh() {
+            return !served && node.now() < since + FRESH_MS;
+        }
+
         boolean isOverdue(double now) {
             return isIdle() && now > since + (served && !partial() ? IDLE_MS : PATIENCE_MS);
         }
@@ -267,7 +283,7 @@
                 return;
             }
             if (request.uri().equals("/_health")) {
-                write(HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER, 0);
+                write(health, Unpooled.EMPTY_BUFFER, 0);
                 return;
             }
             try {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -26,6 +26,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.logging.Level;
@@ -35,7 +36,7 @@
  * One balancer: owns the decision module, tells it what happens on the sockets and carries out what it asks
  * for. It decides nothing itself. All of it runs on one event loop thread, so nothing is locked.
  */
-final class Node implements LoadBalancer.Actions {
+final class Node implements LoadBalancer.Actions, Door.Operations {
 
     static final Logger LOG = Logger.getLogger("sablehinge");
     /** Netty's pool of direct memory: one arena, as there is one thread, in chunks of 512 KiB. */
@@ -59,6 +60,11 @@
     private final Discovery discovery;
     private final Frontend frontend;
     private final Figures figures = new Figures();
+    /** The operators' door; null if the configuration names none. */
+    private final Door door;
+    private volatile boolean taking;
+    /** Closes what becomes idle while operators drain this balancer; null while they don't. */
+    private Future<?> handDrain;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private long lastId;
@@ -74,12 +80,13 @@
         this.loop = loop;
         PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
                 CACHED, false);
-        Sockets sockets = new Sockets(config.sockets());
+        Sockets sockets = new Sockets(config.sockets() - (config.admin() == null ? 0 : Door.DESCRIPTORS));
         balancer = module.apply(this);
         upstreams = new UpstreamClient(loop, clock, config.settings(), sockets, figures, memory);
         discovery = new Discovery(loop, config, memory, this::told, Discovery.WATCH_MS);
         frontend = new Frontend(loop, config, sockets, memory, this);
         figures.show(config.classes());
+        door = config.admin() == null ? null : new Door(this, loop);
     }
 
     static Node start(NodeConfig config) throws ConfigException, InterruptedException {
@@ -92,8 +99,12 @@
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("node", true), NioIoHandler.newFactory()).next();
         Node node = new Node(config, loop, module);
+        if (node.door != null) {
+            node.door.bind(config.admin());
+        }
         loop.submit(node::begin).sync();
         node.frontend.bind();
+        node.taking = true;
         return node;
     }
 
@@ -110,11 +121,44 @@
         return entries;
     }
 
-    /** The figures, a line each; any thread may ask. */
-    String stats() {
+    @Override
+    public boolean isTaking() {
+        return taking;
+    }
+
+    @Override
+    public String stats() {
         return figures.text();
     }
 
+    /** Sends callers away as SIGTERM does, but goes on: {@link #stopDrain} undoes it. */
+    @Override
+    public void startDrain() {
+        if (handDrain == null) {
+            LOG.info("drains by hand");
+            taking = false;
+            frontend.beginDrain(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            handDrain = loop.scheduleAtFixedRate(frontend::endDrain, LATE_CONNECTIONS_MS, DRAIN_CHECK_MS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void stopDrain() {
+        if (handDrain != null) {
+            LOG.info("the drain by hand is over");
+            handDrain.cancel(false);
+            handDrain = null;
+            frontend.stopDrain();
+            taking = true;
+        }
+    }
+
+    /** Where operators call; for tests. */
+    InetSocketAddress doorAddress() {
+        return door.address();
+    }
+
     /** Where it listens. */
     InetSocketAddress address() {
         return frontend.address();
@@ -130,11 +174,14 @@
                 .orElse(0);
         double begun = clock.now();
         double latest = begun + Math.min(longest, LONGEST_DRAIN_MS) + DRAIN_SLACK_MS;
-        double sendAway = Math.max(begun, latest - DRAIN_SLACK_MS - SEND_AWAY_MS);
+        taking = false;
+        // Operators who have sent callers away already gave them the time to find another balancer.
+        boolean already = loop.submit(this::endHandDrain).sync().getNow();
+        double sendAway = already ? begun : Math.max(begun, latest - DRAIN_SLACK_MS - SEND_AWAY_MS);
         while (clock.now() < sendAway) {
             Thread.sleep(DRAIN_CHECK_MS);
         }
-        loop.submit(frontend::beginDrain).sync();
+        loop.submit(() -> frontend.beginDrain(HttpResponseStatus.OK)).sync();
         boolean done = false;
         while (!done && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
@@ -146,6 +193,15 @@
                 .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT))).sync();
     }
 
+    /** Leaves a drain by hand to the one of SIGTERM; whether there was one. */
+    private boolean endHandDrain() {
+        boolean drains = handDrain != null;
+        if (drains) {
+            handDrain.cancel(false);
+        }
+        return drains;
+    }
+
     /** Takes in a configuration that has been replaced: discovery may have moved. */
     void reload(NodeConfig replaced) {
         LOG.info("asks discovery at " + replaced.discovery() + " from now on");
@@ -159,6 +215,9 @@
 
     /** Ends at once, whatever is under way; for tests. */
     void kill() {
+        if (door != null) {
+            door.kill();
+        }
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
--- a/src/main/java/cranedeal/node/NodeConfig.java
+++ b/src/main/java/cranedeal/node/NodeConfig.java
@@ -16,12 +16,13 @@
 /**
  * What the platform tells a balancer in the file that {@code PROXY_CONFIG} names.
  *
+ * @param admin where operators call; null if they don't
  * @param sockets how many file descriptors the process may hold
  * @param zones the names of the zones, by the index that the module uses; likewise the others
  * @param known the upstreams as this balancer last had them
  */
-record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Settings settings, List<String> zones, List<String> kinds, List<String> classes,
+record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
+        long seed, int sockets, Settings settings, List<String> zones, List<String> kinds, List<String> classes,
         List<String> tenants, Roster known) {
 
     static final JsonMapper JSON = new JsonMapper();
@@ -47,7 +48,7 @@
         Settings settings = SettingsParser.parse(lines.toString().getBytes(StandardCharsets.UTF_8));
         List<String> zones = names(given.path("zones"));
         List<String> kinds = names(given.path("machineTypes"));
-        return new NodeConfig(root.path("name").asText("balancer"), address(root, "listen"),
+        return new NodeConfig(root.path("name").asText("balancer"), address(root, "listen"), admin(root),
                 address(root, "discovery"), seed(root.path("seed").asText("")),
                 root.path("limits").path("sockets").asInt(1_024), settings, zones, kinds,
                 names(given.path("services")), names(given.path("tenants")),
@@ -62,6 +63,19 @@
         }
     }
 
+    /** The environment's word, which is this process's alone, goes before that of the file. */
+    private static InetSocketAddress admin(JsonNode root) {
+        String given = System.getenv("PROXY_ADMIN_ADDR");
+        if (given != null && !given.isEmpty()) {
+            try {
+                return Roster.address(given);
+            } catch (IllegalArgumentException e) {
+                throw new IllegalArgumentException("PROXY_ADMIN_ADDR: " + e.getMessage(), e);
+            }
+        }
+        return root.path("admin_addr").asText("").isEmpty() ? null : address(root, "admin_addr");
+    }
+
     private static long seed(String text) {
         try {
             return Long.parseUnsignedLong(text, 16);
--- /dev/null
+++ b/src/test/java/cranedeal/node/DoorTest.java
@@ -0,0 +1,138 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What operators see at their door, and what their drain does to callers. */
+@Timeout(60)
+class DoorTest {
+
+    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+
+    private static Stage stage() throws Exception {
+        Stage stage = new Stage();
+        stage.door = true;
+        return stage.start();
+    }
+
+    private static int health(Stage stage) throws Exception {
+        Peer front = stage.caller();
+        front.write(HEALTH);
+        return front.read().status();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET,/ops/readiness,200", "GET,/ops/stats,200", "PUT,/ops/readiness,405", "PUT,/ops/stats,405",
+        "GET,/ops/drain/start,405", "POST,/ops/drain/stop,405", "PUT,/ops/drain/stop,200",
+        "PUT,/ops/drain,404", "PUT,/ops/drain/start/now,404", "GET,/,404", "GET,/_health,404",
+        "GET,/ops/%zz,400"})
+    void eachCallHasItsAnswer(String method, String path, int status) throws Exception {
+        try (Stage stage = stage()) {
+            assertEquals(status, stage.order(method, path));
+            assertEquals(200, health(stage));
+            stage.servesStill();
+        }
+    }
+
+    @Test
+    void theFiguresComeAsLines() throws Exception {
+        try (Stage stage = stage(); Peer operator = Peer.to(stage.node.doorAddress())) {
+            operator.write("GET /ops/stats HTTP/1.1\r\nHost: ops\r\n\r\n");
+            Peer.Message answer = operator.read();
+            assertTrue(answer.body().contains("edge_proxy.concurrent=0\n"), answer.body());
+            assertEquals("close", answer.header("Connection"));
+        }
+    }
+
+    @Test
+    void whatIsNoCallIsTurnedDown() throws Exception {
+        try (Stage stage = stage(); Peer operator = Peer.to(stage.node.doorAddress())) {
+            operator.write("drain\r\n\r\n");
+            assertEquals(400, operator.read().status());
+            assertEquals(200, health(stage));
+        }
+    }
+
+    @Test
+    void callersThatSendNoWholeCallKeepNobodyOut() throws Exception {
+        List<Peer> silent = new ArrayList<>();
+        try (Stage stage = stage()) {
+            for (int i = 0; i < 3 * Door.CONNECTIONS; i++) {
+                silent.add(Peer.to(stage.node.doorAddress()));
+                silent.get(i).write("GET /ops/rea");
+            }
+            assertEquals(200, stage.order("GET", "/ops/readiness"));
+            // The last one was evicted by nobody, so its time must have run out.
+            assertTrue(silent.get(silent.size() - 1).ended());
+        } finally {
+            for (Peer peer : silent) {
+                peer.close();
+            }
+        }
+    }
+
+    @Test
+    void itAnswersWhileTheNodeIsBusyAndTakesBackAnOrderThatHasToWait() throws Exception {
+        try (Stage stage = stage()) {
+            CountDownLatch busy = new CountDownLatch(1);
+            CountDownLatch over = new CountDownLatch(1);
+            stage.script.onRequest = request -> {
+                busy.countDown();
+                try {
+                    over.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                stage.script.sendTo(0, request, 0);
+            };
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "30"));
+            busy.await();
+            assertEquals(200, stage.order("GET", "/ops/stats"));
+            assertEquals(503, stage.order("PUT", "/ops/drain/start"));
+            over.countDown();
+            stage.upstreams.get(0).accept();
+            assertEquals(200, health(stage));
+        }
+    }
+
+    @Test
+    void aDrainSendsCallersAwayAndItsEndTakesThemBack() throws Exception {
+        try (Stage stage = stage()) {
+            stage.script.onRequest = request -> stage.script.actions.refuse(request.id(), 0);
+            for (int round = 0; round < 2; round++) {
+                Peer idle = stage.caller();
+                idle.write(HEALTH);
+                assertEquals(200, idle.read().status());
+                Peer kept = stage.caller();
+                kept.write(HEALTH);
+                assertEquals(200, kept.read().status());
+                assertEquals(200, stage.order("PUT", "/ops/drain/start"));
+                assertEquals(200, stage.order("PUT", "/ops/drain/start"));
+                assertEquals(503, stage.order("GET", "/ops/readiness"));
+                assertEquals(503, health(stage));
+                // Who is still there is served, and told to leave.
+                kept.write(Stage.get("1", "10"));
+                Peer.Message answer = kept.read();
+                assertEquals(503, answer.status());
+                assertEquals("close", answer.header("Connection"));
+                assertTrue(idle.ended());
+                assertEquals(200, stage.order("PUT", "/ops/drain/stop"));
+                assertEquals(200, stage.order("GET", "/ops/readiness"));
+                assertEquals(200, health(stage));
+                Peer again = stage.caller();
+                again.write(HEALTH);
+                assertNull(again.read().header("Connection"));
+            }
+        }
+    }
+}
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -19,6 +19,8 @@
     int sockets = 1_024;
     int connectTimeout = 3_000;
     int drainGrace = 2_000;
+    /** Whether operators have a door. */
+    boolean door;
     Node node;
 
     Stage() throws IOException {
@@ -64,7 +66,7 @@
             entries[i] = entry(i, upstreams.get(i).address(), "up");
         }
         return """
-                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                {"name":"n0",%s"listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
                  "settings":{"position":0,"siblings":1,"tier":0,"stages":["front"],"zone":0,
                  "zones":["dakar-a"],"machineTypes":["front-mid"],"registryMode":"subscribe",
@@ -86,7 +88,7 @@
                  "goal":{"whole":0.55,"worstWindow":0.15,"worstClass":0.3,"worstTenant":0.0},
                  "prices":{"crossZone":0.22,"probe":0.01,"waste":0.2,"lateFail":0.03,"connection":0.0,
                   "handshake":0.0,"peer":0.0,"registryMode":0.0}}}
-                """.formatted(discovery.address(), sockets,
+                """.formatted(door ? "\"admin_addr\":\"127.0.0.1:0\"," : "", discovery.address(), sockets,
                         roster(41, true, entries), connectTimeout, drainGrace);
     }
 
@@ -97,6 +99,14 @@
         return caller;
     }
 
+    /** An operator's call; the status of its answer. */
+    int order(String method, String path) throws IOException {
+        try (Peer operator = Peer.to(node.doorAddress())) {
+            operator.write(method + " " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n");
+            return operator.read().status();
+        }
+    }
+
     /** A request of the class that is safe to repeat. */
     static String get(String id, String remaining) {
         return "GET /look-up/7?z=3 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + id
