Let a new process take over at the same address while the old one serves

A closed NIO socket lives on until its selector lets go, and resets who comes meanwhile; so the listener leaves the selector first. UpgradeTest: a takeover, a dead follower, no shared folder.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -13,7 +13,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -29,6 +31,8 @@
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -73,6 +77,8 @@
     /** Every caller's connection, in the order in which they came or last became idle. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listening;
+    /** The socket of {@link #listening}. */
+    private ServerSocketChannel socket;
     private boolean draining;
     /** What the front hears when it asks how this balancer does. */
     private HttpResponseStatus health = HttpResponseStatus.OK;
@@ -93,8 +99,11 @@
         }
     }
 
-    void bind() throws ConfigException, InterruptedException {
-        ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    /** Starts to listen; at an address that another process of this balancer has too if that is so. */
+    void bind(boolean shared) throws ConfigException, InterruptedException {
+        socket = open();
+        ServerBootstrap server = new ServerBootstrap().group(loop)
+                .channelFactory(() -> new NioServerSocketChannel(socket))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, memory).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -105,6 +114,9 @@
                                 new Connection(channel, whole));
                     }
                 });
+        if (shared) {
+            server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
         var bound = server.bind(config.listen()).await();
         if (!bound.isSuccess()) {
             throw new ConfigException("cannot listen on " + config.listen() + ": "
@@ -114,6 +126,14 @@
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    private static ServerSocketChannel open() throws ConfigException {
+        try {
+            return ServerSocketChannel.open();
+        } catch (IOException e) {
+            throw new ConfigException("no socket to listen on: " + e.getMessage());
+        }
+    }
+
     /** Closes what has no request and has had its time: whoever sends nothing must not hold a descriptor. */
     private void sweep() {
         double now = node.now();
@@ -145,6 +165,29 @@
         health = healthMeanwhile;
     }
 
+    /** Leaves new callers to another process that listens at the same address, and sends away who is here. */
+    void handOver() {
+        beginDrain(HttpResponseStatus.OK);
+        // Only once no selector knows the socket does closing it take effect at once.
+        listening.deregister();
+        loop.schedule(this::closeListener, 1, TimeUnit.MILLISECONDS);
+    }
+
+    /** Closing the socket resets who waits in its queue: nothing is done between the last look and that. */
+    private void closeListener() {
+        List<java.nio.channels.SocketChannel> last = new ArrayList<>();
+        try {
+            for (var caller = socket.accept(); caller != null; caller = socket.accept()) {
+                last.add(caller);
+            }
+            socket.close();
+        } catch (IOException e) {
+            Node.LOG.log(Level.WARNING, "the listening socket was closed in disorder", e);
+        }
+        last.forEach(caller -> listening.pipeline().fireChannelRead(new NioSocketChannel(listening, caller)));
+        listening.close();
+    }
+
     /** Callers may stay again. */
     void stopDrain() {
         draining = false;
--- a/src/main/java/cranedeal/node/Main.java
+++ b/src/main/java/cranedeal/node/Main.java
@@ -1,6 +1,7 @@
 package cranedeal.node;
 
 import java.lang.reflect.Proxy;
+import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
@@ -28,7 +29,7 @@
         drainAtShutdown(started);
         reloadAtHangup(started);
         try {
-            started.complete(Node.start(NodeConfig.read(System.getenv("PROXY_CONFIG"))));
+            started.complete(Node.start(NodeConfig.read(System.getenv("PROXY_CONFIG")), folder()));
         } catch (ConfigException e) {
             exit("sablehinge: " + e.getMessage(), 1);
         }
@@ -36,6 +37,12 @@
         new CountDownLatch(1).await();
     }
 
+    /** The one folder that may be written to. */
+    private static Path folder() {
+        String folder = System.getenv("TMPDIR");
+        return folder == null || folder.isEmpty() ? null : Path.of(folder);
+    }
+
     /** SIGTERM starts the hook, and the virtual machine lives on until the hook returns. */
     private static void drainAtShutdown(CompletableFuture<Node> started) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -21,6 +21,8 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -46,6 +48,8 @@
     /** How long new connections may still come after SIGTERM, with time to spare. */
     private static final long LATE_CONNECTIONS_MS = 550;
     private static final long DRAIN_CHECK_MS = 10;
+    /** How often to look what another process of this balancer does. */
+    private static final long LOOK_AROUND_MS = 250;
     /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
     private static final double LONGEST_DRAIN_MS = 3_000;
     private static final double DRAIN_SLACK_MS = 550;
@@ -54,11 +58,14 @@
 
     private final NodeConfig config;
     private final EventLoop loop;
+    /** The processes of an upgrade; null where there are none. */
+    private final Succession succession;
     private final Clock clock = new Clock();
     private final LoadBalancer balancer;
     private final UpstreamClient upstreams;
     private final Discovery discovery;
     private final Frontend frontend;
+    private final Sockets sockets;
     private final Figures figures = new Figures();
     /** The operators' door; null if the configuration names none. */
     private final Door door;
@@ -75,12 +82,14 @@
     /** Something to tell the module, and the request that it is about or null. */
     private record Event(Exchange about, Runnable call) { }
 
-    private Node(NodeConfig config, EventLoop loop, Function<LoadBalancer.Actions, LoadBalancer> module) {
+    private Node(NodeConfig config, EventLoop loop, Succession succession,
+            Function<LoadBalancer.Actions, LoadBalancer> module) {
         this.config = config;
         this.loop = loop;
+        this.succession = succession;
         PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
                 CACHED, false);
-        Sockets sockets = new Sockets(config.sockets() - (config.admin() == null ? 0 : Door.DESCRIPTORS));
+        sockets = new Sockets(config.sockets() - (config.admin() == null ? 0 : Door.DESCRIPTORS));
         balancer = module.apply(this);
         upstreams = new UpstreamClient(loop, clock, config.settings(), sockets, figures, memory);
         discovery = new Discovery(loop, config, memory, this::told, Discovery.WATCH_MS);
@@ -89,32 +98,72 @@
         door = config.admin() == null ? null : new Door(this, loop);
     }
 
-    static Node start(NodeConfig config) throws ConfigException, InterruptedException {
-        return start(config, LatencyWeightedBalancer::new);
+    /**
+     * Starts a balancer.
+     *
+     * @param folder what the processes of an upgrade share; null where there are no upgrades
+     */
+    static Node start(NodeConfig config, Path folder) throws ConfigException, InterruptedException {
+        return start(config, folder, LatencyWeightedBalancer::new);
     }
 
     /** Starts a balancer with the given module; it serves once this returns. */
-    static Node start(NodeConfig config, Function<LoadBalancer.Actions, LoadBalancer> module)
+    static Node start(NodeConfig config, Path folder, Function<LoadBalancer.Actions, LoadBalancer> module)
             throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("node", true), NioIoHandler.newFactory()).next();
-        Node node = new Node(config, loop, module);
+        Succession succession = folder == null || config.admin() == null ? null : join(folder);
+        Node node = new Node(config, loop, succession, module);
         if (node.door != null) {
             node.door.bind(config.admin());
         }
         loop.submit(node::begin).sync();
-        node.frontend.bind();
+        node.frontend.bind(succession != null);
         node.taking = true;
+        if (succession != null) {
+            node.inSuccession(Succession::serve);
+        }
         return node;
     }
 
+    private static Succession join(Path folder) {
+        try {
+            return Succession.join(folder);
+        } catch (IOException e) {
+            LOG.warning("no upgrade of this process is possible: " + e);
+            return null;
+        }
+    }
+
+    /** Something to ask or to tell the other process of this balancer. */
+    private interface SuccessionCall {
+        void in(Succession succession) throws IOException;
+    }
+
+    private void inSuccession(SuccessionCall call) {
+        try {
+            call.in(succession);
+        } catch (IOException e) {
+            LOG.warning("nothing is known of another process of this balancer: " + e);
+        }
+    }
+
     private void begin() {
+        if (succession != null) {
+            lookAround();
+            loop.scheduleAtFixedRate(this::lookAround, LOOK_AROUND_MS, LOOK_AROUND_MS, TimeUnit.MILLISECONDS);
+        }
         Roster known = new Roster(config.known().version(), true, config.known().members());
         upstreams.update(known);
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
         tell(null, () -> listChanged(Change.CACHED, entries(known)));
     }
 
+    /** Looks whether another process of this balancer lives. */
+    private void lookAround() {
+        inSuccession(processes -> sockets.share(processes.hasOther()));
+    }
+
     private static List<Upstream> entries(Roster roster) {
         List<Upstream> entries = new ArrayList<>(roster.members().size());
         roster.members().forEach(member -> entries.add(member.upstream()));
@@ -178,14 +227,22 @@
         // Operators who have sent callers away already gave them the time to find another balancer.
         boolean already = loop.submit(this::endHandDrain).sync().getNow();
         double sendAway = already ? begun : Math.max(begun, latest - DRAIN_SLACK_MS - SEND_AWAY_MS);
+        boolean succeeded = false;
         while (clock.now() < sendAway) {
+            if (!succeeded && hasSuccessor()) {
+                LOG.info("leaves callers to the process that follows");
+                loop.submit(frontend::handOver).sync();
+                succeeded = true;
+            }
             Thread.sleep(DRAIN_CHECK_MS);
         }
         loop.submit(() -> frontend.beginDrain(HttpResponseStatus.OK)).sync();
+        // Those that come late come to the successor, where there is one.
+        double idleFrom = succeeded ? sendAway : sendAway + LATE_CONNECTIONS_MS;
         boolean done = false;
         while (!done && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
-            boolean late = clock.now() < sendAway + LATE_CONNECTIONS_MS;
+            boolean late = clock.now() < idleFrom;
             done = !late && endDrain();
         }
         // What SIGKILL found unanswered would be lost; a failure is an answer.
@@ -193,6 +250,15 @@
                 .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT))).sync();
     }
 
+    /** Whether another process serves where this one is to end. */
+    private boolean hasSuccessor() {
+        boolean[] has = new boolean[1];
+        if (succession != null) {
+            inSuccession(processes -> has[0] = processes.hasSuccessor());
+        }
+        return has[0];
+    }
+
     /** Leaves a drain by hand to the one of SIGTERM; whether there was one. */
     private boolean endHandDrain() {
         boolean drains = handDrain != null;
@@ -218,6 +284,9 @@
         if (door != null) {
             door.kill();
         }
+        if (succession != null) {
+            inSuccession(Succession::leave);
+        }
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/cranedeal/node/Sockets.java
@@ -16,13 +16,24 @@
     /** The part of the rest that only callers may use. */
     private static final int CALLERS_SHARE = 5;
 
-    private final int limit;
+    private final int descriptors;
+    private int limit;
     private int open;
     private BooleanSupplier evictCaller = () -> false;
     private BooleanSupplier evictUpstream = () -> false;
 
     Sockets(int descriptors) {
-        limit = Math.max(CALLERS_SHARE, descriptors - OF_THE_PROCESS);
+        this.descriptors = descriptors;
+        share(false);
+    }
+
+    /** Keeps to half of the descriptors while another process of this balancer needs the rest. */
+    final void share(boolean shared) {
+        limit = Math.max(CALLERS_SHARE, (shared ? descriptors / 2 : descriptors) - OF_THE_PROCESS);
+        boolean evicted = open > limit;
+        while (evicted && open > limit) {
+            evicted = evictUpstream.getAsBoolean();
+        }
     }
 
     /** Names what closes one idle connection of a caller and tells whether there was one. */
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -20,7 +20,12 @@
 
     private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
 
-    private static Process start(Path config, String... arguments) throws IOException {
+    static Process start(Path config, String... arguments) throws IOException {
+        return start(null, config, arguments);
+    }
+
+    /** Starts the program, with a folder of its own if one is given. */
+    static Process start(Path folder, Path config, String... arguments) throws IOException {
         String[] command = new String[arguments.length + 4];
         command[0] = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         command[1] = "-cp";
@@ -29,6 +34,10 @@
         System.arraycopy(arguments, 0, command, 4, arguments.length);
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().remove("PROXY_CONFIG");
+        builder.environment().remove("TMPDIR");
+        if (folder != null) {
+            builder.environment().put("TMPDIR", folder.toString());
+        }
         if (config != null) {
             builder.environment().put("PROXY_CONFIG", config.toString());
         }
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -21,6 +21,8 @@
     int drainGrace = 2_000;
     /** Whether operators have a door. */
     boolean door;
+    /** What the processes of an upgrade share. */
+    Path folder;
     Node node;
 
     Stage() throws IOException {
@@ -42,7 +44,7 @@
         Path file = Files.createTempFile("node", ".json");
         try {
             Files.writeString(file, config());
-            node = Node.start(NodeConfig.read(file.toString()), module);
+            node = Node.start(NodeConfig.read(file.toString()), folder, module);
         } finally {
             Files.delete(file);
         }
--- /dev/null
+++ b/src/test/java/cranedeal/node/UpgradeTest.java
@@ -0,0 +1,150 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two processes at one address: what callers and operators see while one replaces the other. */
+@Timeout(120)
+class UpgradeTest {
+
+    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+
+    @TempDir
+    private Path folder;
+    private Stage stage;
+    private InetSocketAddress address;
+    private final List<Process> processes = new ArrayList<>();
+
+    @BeforeEach
+    void stage() throws Exception {
+        stage = new Stage();
+        stage.door = true;
+        address = free();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        processes.forEach(Process::destroyForcibly);
+        stage.close();
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            return new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+    }
+
+    /** Starts a process and returns its door once that says that the process takes clients. */
+    private InetSocketAddress start() throws Exception {
+        InetSocketAddress door = free();
+        Path file = Files.createTempFile(folder, "node", ".json");
+        Files.writeString(file, stage.config()
+                .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + address.getPort() + "\"")
+                .replace("\"admin_addr\":\"127.0.0.1:0\"", "\"admin_addr\":\"127.0.0.1:" + door.getPort() + "\""));
+        Process process = DrainTest.start(folder, file, "serve");
+        processes.add(process);
+        while (order(door, "GET", "/ops/readiness") != 200) {
+            assertTrue(process.isAlive());
+            Thread.onSpinWait();
+        }
+        return door;
+    }
+
+    /** An operator's call; 0 if nobody is there. */
+    private static int order(InetSocketAddress door, String method, String path) throws IOException {
+        try (Peer operator = Peer.to(door)) {
+            operator.write(method + " " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n");
+            return operator.read().status();
+        } catch (java.net.ConnectException e) {
+            return 0;
+        }
+    }
+
+    private Peer caller() throws IOException {
+        Peer caller = Peer.to(address);
+        caller.write(HEALTH);
+        assertEquals(200, caller.read().status());
+        return caller;
+    }
+
+    @Test
+    void theFollowerTakesOverWhileCallersGoOn() throws Exception {
+        start();
+        Peer used = caller();
+        Peer idle = caller();
+        used.write(Stage.get("1", "20"));
+        Peer upstream = stage.upstreams.get(0).accept();
+        upstream.read();
+        start();
+        Process old = processes.get(0);
+        old.destroy();
+        // Each new connection is served, whoever gets it; but for one that comes just as the old socket closes.
+        int reset = 0;
+        while (old.isAlive()) {
+            try {
+                caller().close();
+            } catch (IOException e) {
+                reset++;
+            }
+            if (upstream != null) {
+                upstream.write(Stage.ok("taken"));
+                assertEquals("taken", used.read().body());
+                upstream = null;
+            }
+        }
+        assertTrue(reset <= 1, reset + " reset");
+        assertTrue(idle.ended());
+        assertTrue(used.ended());
+        assertTrue(processes.get(1).isAlive());
+    }
+
+    @Test
+    void aSecondProcessWithoutTheFolderIsTurnedDown() throws Exception {
+        start();
+        Path file = Files.createTempFile(folder, "node", ".json");
+        Files.writeString(file, stage.config().replace("\"listen\":\"127.0.0.1:0\"",
+                "\"listen\":\"127.0.0.1:" + address.getPort() + "\""));
+        Process second = DrainTest.start(file, "serve");
+        processes.add(second);
+        assertTrue(second.waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(1, second.exitValue());
+        assertTrue(processes.get(0).isAlive());
+    }
+
+    @Test
+    void aProcessThatDiedIsNoFollower() throws Exception {
+        start();
+        start();
+        Process died = processes.get(1).destroyForcibly();
+        assertTrue(died.waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        Peer kept = caller();
+        processes.get(0).destroy();
+        // A drain without a follower goes on to take connections before it sends callers away.
+        Peer.Message answer = null;
+        int served = 0;
+        while (answer == null || answer.header("Connection") == null) {
+            caller().close();
+            kept.write(HEALTH);
+            answer = kept.read();
+            served++;
+        }
+        assertTrue(served > 1, "served " + served);
+        assertFalse(processes.get(0).waitFor(0, TimeUnit.MILLISECONDS));
+        assertTrue(processes.get(0).waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
+    }
+}
