Take upstreams out of use by hand, over lists, restarts and an upgrade

The module draws none that is banned; one that is put back counts as just started unless the list has told of its restart, since operators take it out for one. Orders are kept by atomic rename in the folder of both processes. Tests: module, door, store, two processes.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -117,6 +117,8 @@
     private SplittableRandom random;
     private final Map<Long, Server> servers = new LinkedHashMap<>();
     private List<Server> ready = List.of();
+    /** What operators have taken out of use, and when. */
+    private final Map<Long, Double> bannedAt = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
     /** Rule 5: the requests of each key that are not settled; looked up by key only, dropped when empty. */
     private final Map<Long, ArrayDeque<Call>> lines = new HashMap<>();
@@ -411,8 +413,8 @@
 
     /** The share of its capacity that a server can be trusted to have: an even ramp over the warm-up. */
     private double warmth(Server server, double now) {
-        double age = now - server.listed.startedAt();
-        if (server.listed.startedAt() == 0 || age >= settings.rules().warmUp()) {
+        double age = now - server.startedAt;
+        if (server.startedAt == 0 || age >= settings.rules().warmUp()) {
             return 1;
         }
         double from = settings.rules().startCapacity();
@@ -705,22 +707,51 @@
                 servers.remove(upstream.id());
             } else if (known == null || known.listed.startedAt() != upstream.startedAt()) {
                 // A restart is a new server: cold, with a clean record.
-                Server.Kind kind = kinds[Math.min(upstream.kind(), kinds.length - 1)];
-                servers.put(upstream.id(),
-                        new Server(upstream, kind, classes.length, now, random.nextDouble()));
-                if (upstream.startedAt() != 0) {
-                    coldUntil = Math.max(coldUntil, upstream.startedAt() + settings.rules().warmUp());
-                }
+                started(upstream, upstream.startedAt(), now);
             } else {
                 known.listed = upstream;
                 servers.put(upstream.id(), known);
             }
         }
-        // Rule 3: only ready servers are ever drawn; what drains or is gone leaves at once.
-        ready = servers.values().stream().filter(s -> s.listed.state() == State.READY).toList();
+        chooseReady();
+    }
+
+    private void started(Upstream upstream, double at, double now) {
+        Server.Kind kind = kinds[Math.min(upstream.kind(), kinds.length - 1)];
+        servers.put(upstream.id(), new Server(upstream, at, kind, classes.length, now, random.nextDouble()));
+        if (at != 0) {
+            coldUntil = Math.max(coldUntil, at + settings.rules().warmUp());
+        }
+    }
+
+    /**
+     * Rule 3: only ready servers are ever drawn; what drains or is gone leaves at once, and so does what
+     * operators take out of use.
+     */
+    private void chooseReady() {
+        ready = servers.values().stream().filter(server -> server.listed.state() == State.READY
+                && !bannedAt.containsKey(server.listed.id())).toList();
         chooseSubset();
     }
 
+    /**
+     * Operators take a server out of use to restart it, and the list tells of that late. Unless it has, the
+     * server is cold from now: taken for warm, it would be pushed over.
+     */
+    @Override
+    public void upstreamBanned(double now, long upstream, boolean banned) {
+        if (banned) {
+            bannedAt.putIfAbsent(upstream, now);
+        } else {
+            Double since = bannedAt.remove(upstream);
+            Server server = servers.get(upstream);
+            if (since != null && server != null && server.startedAt < since) {
+                started(server.listed, now, now);
+            }
+        }
+        chooseReady();
+    }
+
     @Override
     public int avoided() {
         return servers.size() - ready.size();
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -21,6 +21,12 @@
      */
     void upstreamsChanged(double now, Change change, List<Upstream> upstreams);
 
+    /**
+     * Operators have taken an upstream out of use, whatever lists say of it, or have put it back. It may have
+     * been restarted meanwhile. It need not be listed, and may be told twice.
+     */
+    default void upstreamBanned(double now, long upstream, boolean banned) { }
+
     /** How many listed upstreams get no request now. */
     default int avoided() {
         return 0;
--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -17,6 +17,8 @@
     }
 
     LoadBalancer.Upstream listed;
+    /** When its process is taken to have started last: what the list says, or later; 0 for long ago. */
+    final double startedAt;
     final Kind kind;
     /** Own attempts in flight there, oldest first. */
     final ArrayDeque<Call.Attempt> out = new ArrayDeque<>();
@@ -40,7 +42,9 @@
     final double knownSince;
     private double fadedAt;
 
-    Server(LoadBalancer.Upstream listed, Kind kind, int classes, double now, double coldBudget) {
+    Server(LoadBalancer.Upstream listed, double startedAt, Kind kind, int classes, double now,
+            double coldBudget) {
+        this.startedAt = startedAt;
         servedOf = new double[classes];
         triesOf = new double[classes];
         this.listed = listed;
--- a/src/main/java/cranedeal/node/Door.java
+++ b/src/main/java/cranedeal/node/Door.java
@@ -47,6 +47,8 @@
     private static final long ORDER_MS = 900;
     private static final int LONGEST_BODY = 4_096;
     private static final String OPS = "/ops/";
+    private static final String DOWN = "upstreams/down/";
+    private static final String UP = "upstreams/up/";
 
     /** What operators can ask of a balancer; the orders run on its loop, the rest on the door's. */
     interface Operations {
@@ -57,9 +59,12 @@
         /** The figures, a line each. */
         String stats();
 
-        void startDrain();
+        void startDrain() throws IOException;
 
-        void stopDrain();
+        void stopDrain() throws IOException;
+
+        /** Takes an upstream out of use or puts it back; false for an id that was never listed. */
+        boolean ban(String id, boolean banned) throws IOException;
     }
 
     private final Operations operations;
@@ -170,7 +175,10 @@
 
         private void serve(String call, HttpMethod method) {
             boolean asks = call.equals("readiness") || call.equals("stats");
-            if (!asks && !call.equals("drain/start") && !call.equals("drain/stop")) {
+            String down = after(DOWN, call);
+            String up = after(UP, call);
+            boolean drains = call.equals("drain/start") || call.equals("drain/stop");
+            if (!asks && !drains && down == null && up == null) {
                 answer(HttpResponseStatus.NOT_FOUND, "no such call\n");
             } else if (!method.equals(asks ? HttpMethod.GET : HttpMethod.PUT)) {
                 answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "another method is wanted\n");
@@ -180,7 +188,7 @@
                         taking ? "takes clients\n" : "takes no clients\n");
             } else if (call.equals("stats")) {
                 answer(HttpResponseStatus.OK, operations.stats());
-            } else {
+            } else if (drains) {
                 order(() -> {
                     if (call.equals("drain/start")) {
                         operations.startDrain();
@@ -189,9 +197,17 @@
                     }
                     return true;
                 });
+            } else {
+                order(() -> operations.ban(down == null ? up : down, down != null));
             }
         }
 
+        /** The id that follows a prefix; null if there is none. */
+        private String after(String prefix, String call) {
+            return call.startsWith(prefix) && call.length() > prefix.length()
+                    ? call.substring(prefix.length()) : null;
+        }
+
         /** Has the node carry out an order, and answers once it has; a false result is a no to the id. */
         private void order(Callable<Boolean> order) {
             AtomicBoolean settled = new AtomicBoolean();
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -196,7 +196,9 @@
 
     /** Closes what is idle and tells whether nothing is left, so that the process may end. */
     boolean endDrain() {
-        Sockets.readNow(listening);
+        if (listening != null) {
+            Sockets.readNow(listening);
+        }
         for (Connection connection : new ArrayList<>(connections)) {
             // A request that lies unread in the kernel would be lost with its connection.
             Sockets.readNow(connection.channel);
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -22,15 +22,18 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.io.IOException;
+import java.nio.channels.FileLock;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -50,6 +53,8 @@
     private static final long DRAIN_CHECK_MS = 10;
     /** How often to look what another process of this balancer does. */
     private static final long LOOK_AROUND_MS = 250;
+    /** How many upstreams are remembered as listed at some time. */
+    private static final int MOST_KNOWN = 10_000;
     /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
     private static final double LONGEST_DRAIN_MS = 3_000;
     private static final double DRAIN_SLACK_MS = 550;
@@ -69,7 +74,23 @@
     private final Figures figures = new Figures();
     /** The operators' door; null if the configuration names none. */
     private final Door door;
-    private volatile boolean taking;
+    private volatile boolean serving;
+    private volatile boolean draining;
+    /** What operators want. */
+    private Orders orders = Orders.NONE;
+    /** Where the orders are kept, with {@link #succession}. */
+    private final Path folder;
+    /** Whether another process of this balancer lived at the last look. */
+    private boolean hadOther;
+    /** The upstreams that were ever listed, those of late. */
+    private final Map<Long, Boolean> everListed = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > MOST_KNOWN;
+        }
+    };
     /** Closes what becomes idle while operators drain this balancer; null while they don't. */
     private Future<?> handDrain;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
@@ -82,11 +103,12 @@
     /** Something to tell the module, and the request that it is about or null. */
     private record Event(Exchange about, Runnable call) { }
 
-    private Node(NodeConfig config, EventLoop loop, Succession succession,
+    private Node(NodeConfig config, EventLoop loop, Succession succession, Path folder,
             Function<LoadBalancer.Actions, LoadBalancer> module) {
         this.config = config;
         this.loop = loop;
         this.succession = succession;
+        this.folder = folder;
         PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
                 CACHED, false);
         sockets = new Sockets(config.sockets() - (config.admin() == null ? 0 : Door.DESCRIPTORS));
@@ -113,13 +135,13 @@
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("node", true), NioIoHandler.newFactory()).next();
         Succession succession = folder == null || config.admin() == null ? null : join(folder);
-        Node node = new Node(config, loop, succession, module);
+        Node node = new Node(config, loop, succession, folder, module);
         if (node.door != null) {
             node.door.bind(config.admin());
         }
         loop.submit(node::begin).sync();
         node.frontend.bind(succession != null);
-        node.taking = true;
+        node.serving = true;
         if (succession != null) {
             node.inSuccession(Succession::serve);
         }
@@ -149,19 +171,28 @@
     }
 
     private void begin() {
-        if (succession != null) {
-            lookAround();
-            loop.scheduleAtFixedRate(this::lookAround, LOOK_AROUND_MS, LOOK_AROUND_MS, TimeUnit.MILLISECONDS);
-        }
         Roster known = new Roster(config.known().version(), true, config.known().members());
         upstreams.update(known);
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
         tell(null, () -> listChanged(Change.CACHED, entries(known)));
+        known.members().forEach(member -> everListed.put(member.upstream().id(), true));
+        if (succession != null) {
+            hadOther = true;
+            lookAround();
+            loop.scheduleAtFixedRate(this::lookAround, LOOK_AROUND_MS, LOOK_AROUND_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
-    /** Looks whether another process of this balancer lives. */
+    /** Looks whether another process of this balancer lives, and what operators have ordered there. */
     private void lookAround() {
-        inSuccession(processes -> sockets.share(processes.hasOther()));
+        inSuccession(processes -> {
+            boolean other = processes.hasOther();
+            sockets.share(other);
+            if (other || hadOther) {
+                obey(Orders.read(folder));
+            }
+            hadOther = other;
+        });
     }
 
     private static List<Upstream> entries(Roster roster) {
@@ -172,7 +203,7 @@
 
     @Override
     public boolean isTaking() {
-        return taking;
+        return serving && !draining;
     }
 
     @Override
@@ -182,24 +213,80 @@
 
     /** Sends callers away as SIGTERM does, but goes on: {@link #stopDrain} undoes it. */
     @Override
-    public void startDrain() {
+    public void startDrain() throws IOException {
+        order(given -> given.withDrain(true));
+    }
+
+    @Override
+    public void stopDrain() throws IOException {
+        order(given -> given.withDrain(false));
+    }
+
+    @Override
+    public boolean ban(String id, boolean banned) throws IOException {
+        if (!everListed.containsKey(Roster.number(id)) && !orders.out().contains(id)) {
+            return false;
+        }
+        order(given -> given.with(id, banned));
+        return true;
+    }
+
+    /** Changes what operators want; if that can't be kept, nothing changes. */
+    private void order(UnaryOperator<Orders> change) throws IOException {
+        if (succession == null) {
+            obey(change.apply(orders));
+            return;
+        }
+        Orders changed;
+        FileLock lock = succession.lockShared();
+        try {
+            changed = change.apply(Orders.read(folder));
+            changed.write(folder);
+        } finally {
+            lock.close();
+        }
+        obey(changed);
+    }
+
+    private void obey(Orders given) {
+        Orders before = orders;
+        orders = given;
+        given.out().stream().filter(id -> !before.out().contains(id)).forEach(id -> use(id, false));
+        before.out().stream().filter(id -> !given.out().contains(id)).forEach(id -> use(id, true));
+        if (given.draining()) {
+            beginHandDrain();
+        } else {
+            stopHandDrain();
+        }
+    }
+
+    private void use(String id, boolean used) {
+        LOG.info(id + (used ? " is put back to use" : " is taken out of use") + " by hand");
+        long upstream = Roster.number(id);
+        upstreams.ban(upstream, !used);
+        tell(null, () -> {
+            balancer.upstreamBanned(clock.now(), upstream, !used);
+            figures.upstreams(upstreams.listed(), balancer.avoided());
+        });
+    }
+
+    private void beginHandDrain() {
         if (handDrain == null) {
             LOG.info("drains by hand");
-            taking = false;
+            draining = true;
             frontend.beginDrain(HttpResponseStatus.SERVICE_UNAVAILABLE);
             handDrain = loop.scheduleAtFixedRate(frontend::endDrain, LATE_CONNECTIONS_MS, DRAIN_CHECK_MS,
                     TimeUnit.MILLISECONDS);
         }
     }
 
-    @Override
-    public void stopDrain() {
+    private void stopHandDrain() {
         if (handDrain != null) {
             LOG.info("the drain by hand is over");
             handDrain.cancel(false);
             handDrain = null;
             frontend.stopDrain();
-            taking = true;
+            draining = false;
         }
     }
 
@@ -223,7 +310,7 @@
                 .orElse(0);
         double begun = clock.now();
         double latest = begun + Math.min(longest, LONGEST_DRAIN_MS) + DRAIN_SLACK_MS;
-        taking = false;
+        serving = false;
         // Operators who have sent callers away already gave them the time to find another balancer.
         boolean already = loop.submit(this::endHandDrain).sync().getNow();
         double sendAway = already ? begun : Math.max(begun, latest - DRAIN_SLACK_MS - SEND_AWAY_MS);
@@ -337,6 +424,7 @@
         List<Upstream> entries = roster == null ? List.of() : entries(roster);
         if (roster != null) {
             upstreams.update(roster);
+            roster.members().forEach(member -> everListed.put(member.upstream().id(), true));
         }
         tell(null, () -> listChanged(change, entries));
     }
--- a/src/main/java/cranedeal/node/Roster.java
+++ b/src/main/java/cranedeal/node/Roster.java
@@ -54,7 +54,7 @@
     }
 
     /** The same number for an id at every balancer, as the module's subsets rest on it. */
-    private static long number(String id) {
+    static long number(String id) {
         CRC32C low = new CRC32C();
         low.update(id.getBytes(StandardCharsets.UTF_8));
         return (long) id.hashCode() << Integer.SIZE | low.getValue();
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -29,8 +29,10 @@
 import java.math.BigDecimal;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -66,6 +68,7 @@
     private final Figures figures;
     private final Bootstrap bootstrap;
     private final Map<Long, Target> targets = new HashMap<>();
+    private final Set<Long> banned = new HashSet<>();
     /** How long connections may have been idle for another use, as resets have taught; and when they did. */
     private double taughtIdle = Double.POSITIVE_INFINITY;
     private double taughtAt;
@@ -135,7 +138,7 @@
             }
             target.member = member;
             target.listed = true;
-            if (member.upstream().state() == State.READY) {
+            if (member.upstream().state() == State.READY && !banned.contains(member.upstream().id())) {
                 target.toldOff = Double.NaN;
             } else {
                 tellOff(target, now);
@@ -144,6 +147,17 @@
         left.values().forEach(target -> strike(target, now));
     }
 
+    /** Operators have taken an upstream out of use, or have put it back: it drains for as long. */
+    void ban(long upstream, boolean out) {
+        Target target = targets.get(upstream);
+        if (out && banned.add(upstream) && target != null) {
+            tellOff(target, clock.now());
+        } else if (!out && banned.remove(upstream) && target != null && target.listed
+                && target.member.upstream().state() == State.READY) {
+            target.toldOff = Double.NaN;
+        }
+    }
+
     private static void strike(Target target, double now) {
         if (target != null) {
             target.listed = false;
--- a/src/test/java/cranedeal/Bench.java
+++ b/src/test/java/cranedeal/Bench.java
@@ -51,6 +51,14 @@
         balancer.upstreamsChanged(now, change, Arrays.stream(servers).map(Sites.Server::listed).toList());
     }
 
+    void ban(long upstream, boolean banned) {
+        balancer.upstreamBanned(now, upstream, banned);
+    }
+
+    int avoided() {
+        return balancer.avoided();
+    }
+
     void request(long id, int serviceClass) {
         request(id, serviceClass, now + settings.classes().get(serviceClass).deadline(), 0);
     }
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -871,4 +871,57 @@
         int sent = bench.sends.size();
         assertTrue(sent > 60 && sent < 0.2 * 3 * 400, sent + " sent");
     }
+
+    /** How many of 200 requests go to the first of two servers. */
+    private static long toFirst(Bench bench, int from) {
+        int before = bench.sends.size();
+        for (int i = from; i < from + 200; i++) {
+            bench.request(i, 0);
+            bench.advance(10);
+            bench.finish(bench.lastSend(), Result.OK);
+        }
+        return bench.sends.subList(before, bench.sends.size()).stream().filter(s -> s.upstream() == 1).count();
+    }
+
+    @Test
+    void whatOperatorsTakeOutIsNotDrawnWhateverTheListSays() {
+        Bench bench = new Bench(Sites.plain().build(), 7);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        assertEquals(0, bench.avoided());
+        bench.ban(1, true);
+        bench.ban(1, true);
+        assertEquals(1, bench.avoided());
+        assertEquals(0, toFirst(bench, 0));
+        bench.list(Change.FULL, Sites.server(1), Sites.server(2));
+        assertEquals(0, toFirst(bench, 1_000));
+        bench.list(Change.DELTA, Sites.server(1).state(State.REMOVED));
+        assertEquals(0, bench.avoided());
+        bench.list(Change.DELTA, Sites.server(1).startedAt(bench.now - 1_000));
+        assertEquals(0, toFirst(bench, 2_000));
+        bench.ban(1, false);
+        assertEquals(0, bench.avoided());
+        assertTrue(toFirst(bench, 3_000) > 0);
+    }
+
+    @Test
+    void whatIsPutBackIsColdUnlessTheListHasToldOfItsRestart() {
+        long[] sent = new long[2];
+        for (int told = 0; told < 2; told++) {
+            Bench bench = new Bench(Sites.plain().build(), 7);
+            bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+            bench.ban(1, true);
+            double restart = bench.now + 1;
+            bench.advance(12_000);
+            if (told == 1) {
+                bench.list(Change.DELTA, Sites.server(1).startedAt(restart));
+            }
+            bench.ban(1, false);
+            // The list goes on as it was: that is no news of a start long ago.
+            bench.list(Change.FULL, Sites.server(1).startedAt(told == 1 ? restart : 0), Sites.server(2));
+            sent[told] = toFirst(bench, 0);
+        }
+        // Of a warm pair each gets about a half; a fifth of that is what it can do at its start.
+        assertTrue(sent[0] > 5 && sent[0] < 60, "cold: " + sent[0]);
+        assertTrue(sent[1] > 70, "warm by now: " + sent[1]);
+    }
 }
--- a/src/test/java/cranedeal/node/DoorTest.java
+++ b/src/test/java/cranedeal/node/DoorTest.java
@@ -135,4 +135,34 @@
             }
         }
     }
+
+    @Test
+    void anUpstreamThatIsOutGetsNothingUntilItIsBack() throws Exception {
+        try (Stage stage = new Stage(2)) {
+            stage.door = true;
+            stage.start(cranedeal.LatencyWeightedBalancer::new);
+            assertEquals(404, stage.order("PUT", "/ops/upstreams/down/s-0000000a"));
+            assertEquals(404, stage.order("PUT", "/ops/upstreams/up/s-0000000a"));
+            assertEquals(404, stage.order("PUT", "/ops/upstreams/down/"));
+            assertEquals(405, stage.order("GET", "/ops/upstreams/down/s-00000000"));
+            assertEquals(200, stage.order("PUT", "/ops/upstreams/down/s-00000000"));
+            assertEquals(200, stage.order("PUT", "/ops/upstreams/down/s-00000000"));
+            assertTrue(stage.node.stats().contains("edge_proxy.targets_disabled=1\n"), stage.node.stats());
+            Peer caller = stage.caller();
+            Peer upstream = null;
+            for (int i = 0; i < 20; i++) {
+                caller.write(Stage.get("r" + i, "10"));
+                upstream = upstream == null ? stage.upstreams.get(1).accept() : upstream;
+                upstream.read();
+                upstream.write(Stage.ok("well"));
+                assertEquals(200, caller.read().status());
+            }
+            assertEquals(0, stage.upstreams.get(0).waiting());
+            assertEquals(200, stage.order("PUT", "/ops/upstreams/up/s-00000000"));
+            assertTrue(stage.node.stats().contains("edge_proxy.targets_disabled=0\n"), stage.node.stats());
+            assertEquals(200, stage.order("PUT", "/ops/upstreams/down/s-00000001"));
+            caller.write(Stage.get("back", "10"));
+            assertEquals("back", stage.upstreams.get(0).accept().read().header("X-Txn"));
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/cranedeal/node/OrdersTest.java
@@ -0,0 +1,39 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What operators have ordered outlasts the process, and a damaged file stops nobody. */
+class OrdersTest {
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void whatIsWrittenIsReadAgain() throws Exception {
+        assertEquals(Orders.NONE, Orders.read(folder));
+        Orders orders = Orders.NONE.with("s-1", true).with("a b\nc\u0905", true).withDrain(true);
+        orders.write(folder);
+        assertEquals(orders, Orders.read(folder));
+        Orders fewer = orders.with("s-1", false).withDrain(false);
+        fewer.write(folder);
+        assertEquals(new Orders(Set.of("a b\nc\u0905"), false), Orders.read(folder));
+        try (var files = Files.list(folder)) {
+            assertEquals(1, files.count());
+        }
+    }
+
+    @Test
+    void aDamagedFileGivesWhatCanBeReadOfIt() throws Exception {
+        Files.write(folder.resolve("orders"), new byte[] {'o', 'u', 't', ' ', 's', '\n', -1, 0, '\n', 'o', 'u',
+            't', ' ', '%', 'z', '\n', 'd', 'r'});
+        assertEquals(new Orders(Set.of("s", "%z"), false), Orders.read(folder));
+        Files.write(folder.resolve("orders"), new byte[2 << 20]);
+        assertEquals(Orders.NONE, Orders.read(folder));
+    }
+}
--- a/src/test/java/cranedeal/node/UpgradeTest.java
+++ b/src/test/java/cranedeal/node/UpgradeTest.java
@@ -147,4 +147,31 @@
         assertFalse(processes.get(0).waitFor(0, TimeUnit.MILLISECONDS));
         assertTrue(processes.get(0).waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
     }
+
+    private static boolean hasOut(InetSocketAddress door) throws IOException {
+        try (Peer operator = Peer.to(door)) {
+            operator.write("GET /ops/stats HTTP/1.1\r\nHost: ops\r\n\r\n");
+            return operator.read().body().contains("edge_proxy.targets_disabled=1\n");
+        }
+    }
+
+    @Test
+    void ordersHoldForBothProcessesWhicheverIsTold() throws Exception {
+        InetSocketAddress first = start();
+        assertEquals(200, order(first, "PUT", "/ops/upstreams/down/s-00000000"));
+        InetSocketAddress second = start();
+        assertTrue(hasOut(second));
+        assertEquals(200, order(second, "PUT", "/ops/upstreams/up/s-00000000"));
+        while (hasOut(first)) {
+            Thread.sleep(1);
+        }
+        assertEquals(200, order(first, "PUT", "/ops/drain/start"));
+        while (order(second, "GET", "/ops/readiness") == 200) {
+            Thread.sleep(1);
+        }
+        assertEquals(200, order(second, "PUT", "/ops/drain/stop"));
+        while (order(first, "GET", "/ops/readiness") != 200) {
+            Thread.sleep(1);
+        }
+    }
 }
