--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -12,7 +12,8 @@
         final Call call;
         final Server server;
         final int number;
-        final double sentAt;
+        /** From when its time counts. */
+        double sentAt;
         LoadBalancer.Result result;
         boolean streaming;
         /** Whether it was taken as a sign of overload while it was out. */
@@ -30,7 +31,10 @@
     final LoadBalancer.ServiceClass type;
     final ClassRecord record;
     final long id;
-    final double arrivedAt;
+    /** From when the request's time counts. */
+    double arrivedAt;
+    /** Whether its body is still on its way. */
+    boolean arriving;
     final List<Attempt> attempts = new ArrayList<>(2);
     /** The unfinished requests of its key in order of arrival, itself among them; null if it is free. */
     ArrayDeque<Call> line;
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -155,16 +155,23 @@
 
     @Override
     public void request(double now, Request request) {
+        take(now, request, false);
+    }
+
+    @Override
+    public void requestBegun(double now, Request request) {
+        take(now, request, true);
+    }
+
+    private void take(double now, Request request, boolean arriving) {
         Call call = new Call(request, classes[request.serviceClass()], now);
+        call.arriving = arriving;
         calls.put(request.id(), call);
         extraCalls = Math.min(EXTRA_SAVED, extraCalls + EXTRA_PER_REQUEST);
         if (request.cost() > 0) {
             call.record.hint.add(request.cost());
         }
-        // Where a late answer is worth nothing, the work for it is better spent on others.
-        double stretched = call.type.aim() + call.type.aimStretch() * request.cost();
-        double aim = now + Math.min(call.type.deadline(), stretched);
-        call.usefulEnd = call.type.lateWorth() > 0 ? request.deadline() : Math.min(request.deadline(), aim);
+        call.usefulEnd = usefulEnd(call, request.deadline(), now);
         // What is refused is demand too, or refusing would starve those that could take it; but clients'
         // repeats of it are not, and where nobody tells them apart only accepted requests count.
         boolean toldApart = settings.retriesMarked();
@@ -185,6 +192,38 @@
         dispatch(call, now);
     }
 
+    /** Where a late answer is worth nothing, the work for it is better spent on others. */
+    private static double usefulEnd(Call call, double deadline, double now) {
+        double stretched = call.type.aim() + call.type.aimStretch() * call.request.cost();
+        double aim = now + Math.min(call.type.deadline(), stretched);
+        return call.type.lateWorth() > 0 ? deadline : Math.min(deadline, aim);
+    }
+
+    /** Only now an attempt that is out can be late, or a sign of overload. */
+    @Override
+    public void bodyArrived(double now, long requestId, double deadline) {
+        Call call = calls.get(requestId);
+        if (call == null || !call.arriving) {
+            return;
+        }
+        call.arriving = false;
+        call.arrivedAt = now;
+        call.usefulEnd = usefulEnd(call, deadline, now);
+        for (Attempt attempt : call.attempts) {
+            if (attempt.result == null) {
+                attempt.sentAt = now;
+                attempt.server.out.addLast(attempt);
+                watchForStrain(call, attempt, now);
+            }
+        }
+    }
+
+    private void watchForStrain(Call call, Attempt attempt, double now) {
+        if (settings.tier() == 0) {
+            actions.setTimer(call.id << 8 | STRAIN_TIMER | attempt.number, now + strainedAfter(call));
+        }
+    }
+
     /**
      * Sends the next attempt. A request that never ran is held while it waits for its turn, or for a server
      * that is ready, open to it, warm enough and not full; it is refused as soon as that cannot end in time,
@@ -444,7 +483,7 @@
 
     private void send(Call call, Server server, double now) {
         Attempt attempt = new Attempt(call, server, now);
-        double timeout = call.usefulEnd - now;
+        double timeout = call.arriving ? 0 : call.usefulEnd - now;
         double slowAfter = slowAfter(call);
         boolean repeatable = call.type.repeat() != Repeat.AT_MOST_ONCE && !call.type.streamed();
         if (repeatable && settings.limits().parallel() && slowAfter + expected(call) < timeout) {
@@ -455,12 +494,15 @@
         call.attempts.add(attempt);
         call.worst = Double.MAX_VALUE;
         call.running++;
-        server.out.addLast(attempt);
+        if (!call.arriving) {
+            // Until it has the whole body, the server has no work with it.
+            server.out.addLast(attempt);
+        }
         if (warmth(server, now) < 1) {
             server.coldBudget -= 1;
         }
-        if (settings.tier() == 0) {
-            actions.setTimer(call.id << 8 | STRAIN_TIMER | attempt.number, now + strainedAfter(call));
+        if (!call.arriving) {
+            watchForStrain(call, attempt, now);
         }
         actions.send(call.id, server.listed.id(), timeout);
     }
@@ -518,7 +560,9 @@
             call.restsUntil = now + settings.rules().orderSettle();
         }
         learn(attempt, outcome, now);
-        if (settings.tier() == 0 && !attempt.strained && outcome.result() != Result.CANCELLED) {
+        boolean counted = attempt.streaming && !call.type.streamed();
+        if (settings.tier() == 0 && !attempt.strained && !counted
+                && outcome.result() != Result.CANCELLED) {
             boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
             // What breaks at once tells of a fault, not of a crowd.
             if (!inGoodTime || outcome.result() == Result.OK || outcome.result() == Result.FULL
@@ -607,9 +651,18 @@
     public void streamStarted(double now, long requestId, int attempt, double elapsed) {
         Call call = calls.get(requestId);
         if (call != null && attempt < call.attempts.size()) {
+            Attempt begun = call.attempts.get(attempt);
             call.streaming = true;
-            call.attempts.get(attempt).streaming = true;
-            observeLatency(call.attempts.get(attempt), elapsed);
+            begun.streaming = true;
+            observeLatency(begun, elapsed);
+            if (!call.type.streamed()) {
+                // A large answer: its work is done, and how long it takes is up to its reader.
+                begun.server.out.remove(begun);
+                begun.server.count(call.record.index, true);
+                if (settings.tier() == 0 && !begun.strained) {
+                    feelPressure(call.record.leader, elapsed < strainedAfter(call), now);
+                }
+            }
         }
     }
 
@@ -628,12 +681,15 @@
         Server server = attempt.server;
         Result result = outcome.result();
         // The copy that lost is evidence only when overdue, and then the same as a time-out.
-        boolean tooEarly = result == Result.CANCELLED && outcome.elapsed() <= slowAfter(attempt.call);
+        boolean tooEarly = result == Result.CANCELLED
+                && (attempt.streaming || outcome.elapsed() <= slowAfter(attempt.call));
         if (result == Result.NOT_SENT || tooEarly) {
             return;
         }
         server.fade(now, EVIDENCE_FADE, FADE_STEP);
-        server.count(attempt.call.record.index, result == Result.OK);
+        if (result != Result.OK || !attempt.streaming || attempt.call.type.streamed()) {
+            server.count(attempt.call.record.index, result == Result.OK);
+        }
         if (result == Result.OK) {
             if (!attempt.streaming) {
                 observeLatency(attempt, outcome.elapsed());
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -35,6 +35,17 @@
     /** A request has arrived; the instance now owes it exactly one final answer. */
     void request(double now, Request request);
 
+    /**
+     * As {@link #request}, but its body is still on its way: until {@link #bodyArrived} an upstream can't
+     * begin with it, and no time counts.
+     */
+    default void requestBegun(double now, Request request) {
+        request(now, request);
+    }
+
+    /** The whole body of a request that had begun is there; its client waits until the deadline. */
+    default void bodyArrived(double now, long requestId, double deadline) { }
+
     /** How an attempt ended; one such event for every {@link Actions#send}. */
     void attemptFinished(double now, Outcome outcome);
 
--- a/src/main/java/cranedeal/node/Door.java
+++ b/src/main/java/cranedeal/node/Door.java
@@ -91,7 +91,8 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new RequestDecoder(), new HttpResponseEncoder(),
-                                new RequestAggregator(LONGEST_BODY), new Call((SocketChannel) channel));
+                                new RequestAggregator(LONGEST_BODY, LONGEST_BODY),
+                                new Call((SocketChannel) channel));
                     }
                 });
         var bound = server.bind(address).await();
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -10,27 +10,46 @@
 /** A request from its arrival until it has its one answer and none of its attempts is out. */
 final class Exchange {
 
-    /** Who waits for the answer. */
-    interface Caller {
+    /** Who waits for the answer. It is told it whole, or in pieces between {@code begin} and an end. */
+    interface Caller extends Download {
 
         /**
          * Writes the answer; called once at most. The body is not to be kept; {@code retryAfter} in ms is
          * when to come back, 0 for no advice.
          */
         void answer(HttpResponseStatus status, ByteBuf body, double retryAfter);
+
+        /**
+         * Begins with the answer of a served request.
+         *
+         * @param length negative if it is not known
+         * @param drained run each time when pieces can be taken again
+         */
+        void begin(long length, Runnable drained);
+
+        /** That was the whole answer. */
+        void end();
+
+        /** The rest of the answer won't come, and the caller must be able to tell. */
+        void abort();
     }
 
     final long id;
     private final String serviceClass;
     private final Figures figures;
     final FullHttpRequest request;
-    final double deadline;
+    /** The body where that comes on its own; null for others. */
+    final Upload upload;
+    double deadline;
     final List<UpstreamClient.Attempt> attempts = new ArrayList<>(2);
     /** How many attempts were asked for, and how many of them are out; one not sent is null in the list. */
     int sends;
     int running;
     Future<?> overdue;
+    /** When its body was there; NaN while that is on its way. */
+    double arrivedAt;
     private Caller caller;
+    private boolean begun;
 
     Exchange(long id, String serviceClass, FullHttpRequest request, double deadline, Caller caller,
             Figures figures) {
@@ -38,6 +57,7 @@
         this.serviceClass = serviceClass;
         this.figures = figures;
         this.request = request;
+        upload = request instanceof LargeRequest large ? large.upload : null;
         this.deadline = deadline;
         this.caller = caller;
         figures.taken();
@@ -47,16 +67,51 @@
         return caller != null;
     }
 
-    /** Answers unless that is done already or nobody waits any more; tells whether it did. */
-    boolean answer(HttpResponseStatus status, ByteBuf body, double retryAfter) {
+    /** Whether its answer has begun to go out, and has not ended. */
+    boolean isStreaming() {
+        return begun && isOpen();
+    }
+
+    /** Answers unless that is done already or nobody waits any more; breaks off an answer that has begun. */
+    void answer(HttpResponseStatus status, ByteBuf body, double retryAfter) {
         Caller waiting = caller;
         if (waiting == null) {
-            return false;
+            return;
+        }
+        close();
+        figures.answered(serviceClass, begun ? HttpResponseStatus.BAD_GATEWAY : status);
+        if (begun) {
+            waiting.abort();
+        } else {
+            waiting.answer(status, body, retryAfter);
         }
+    }
+
+    /** Turns down what has proved to be no request; it counts for no class. */
+    void reject(HttpResponseStatus status, ByteBuf body) {
+        Caller waiting = caller;
+        if (waiting != null && !begun) {
+            close();
+            waiting.answer(status, body, 0);
+        }
+    }
+
+    /** Begins with an answer that comes in pieces, and returns who takes them. */
+    Download begin(long length, Runnable drained) {
+        begun = true;
+        if (overdue != null) {
+            overdue.cancel(false);
+        }
+        caller.begin(length, drained);
+        return caller;
+    }
+
+    /** The answer that has begun is whole. */
+    void end() {
+        Caller waiting = caller;
         close();
-        figures.answered(serviceClass, status);
-        waiting.answer(status, body, retryAfter);
-        return true;
+        figures.answered(serviceClass, HttpResponseStatus.OK);
+        waiting.end();
     }
 
     /** Nobody waits for an answer any more. */
--- a/src/main/java/cranedeal/node/Figures.java
+++ b/src/main/java/cranedeal/node/Figures.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * What a balancer counts, from 0 at its start. The node's loop feeds it where an event happens; any thread may
- * read.
+ * What a balancer counts, from 0 at its start. The node's loop feeds it where an event happens; any thread
+ * may read.
  */
 final class Figures {
 
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -18,17 +18,23 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.codec.http.cookie.Cookie;
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
+import io.netty.handler.timeout.ReadTimeoutException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -53,8 +59,17 @@
     /** The longest wait that a caller can ask for, in seconds. */
     private static final double LONGEST_WAIT = 3_600;
     private static final int MS = 1_000;
-    /** How long a connection may take for its first request, and a later request from its head to its end. */
-    private static final double PATIENCE_MS = 2_000;
+    /** The largest body that is taken. */
+    static final long MAX_LARGE = 32 << 20;
+    /**
+     * How long a connection may take for its first request, and a later request from its head to its end:
+     * callers may need 2 s for a head, and whoever sends no request is to be closed 3 s after it came.
+     */
+    private static final double PATIENCE_MS = 2_500;
+    /** The bytes of a body that buy a ms more: half as many as the slowest callers send. */
+    private static final double SLOWEST = 32;
+    /** How long a body may stand still once its patience is over. */
+    private static final double GAP_MS = 1_000;
     /** How long a connection that has been served may stand idle. */
     private static final double IDLE_MS = 10_000;
     /** How long a connection is left alone in a drain for its first request to come. */
@@ -67,6 +82,8 @@
     private static final long LINGER_MS = 500;
     /** How long it may take to read that answer. */
     private static final long UNREAD_MS = 5_000;
+    /** What the kernel may hold of a large answer. */
+    private static final int SEND_BUFFER = 128 * 1_024;
 
     private final EventLoop loop;
     private final NodeConfig config;
@@ -109,7 +126,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        RequestAggregator whole = new RequestAggregator(UpstreamClient.MAX_BODY);
+                        RequestAggregator whole = new RequestAggregator(UpstreamClient.MAX_BODY, MAX_LARGE);
                         channel.pipeline().addLast(new RequestDecoder(), new HttpResponseEncoder(), whole,
                                 new Connection(channel, whole));
                     }
@@ -138,9 +155,10 @@
     private void sweep() {
         double now = node.now();
         for (Connection connection : new ArrayList<>(connections)) {
+            connection.checkTransfer(now);
             if (connection.isOverdue(now)) {
                 // The request may have come and not been read yet, least of all where the processor is short.
-                Sockets.readNow(connection.channel);
+                connection.readNow();
                 if (connection.isOverdue(now)) {
                     silent += connection.served && !connection.partial() ? 0 : 1;
                     connection.channel.close();
@@ -201,7 +219,7 @@
         }
         for (Connection connection : new ArrayList<>(connections)) {
             // A request that lies unread in the kernel would be lost with its connection.
-            Sockets.readNow(connection.channel);
+            connection.readNow();
             // Nor must one be cut off whose request is on its way in; it has its time, like any.
             if (connection.isIdle() && !connection.partial() && !connection.isFresh()) {
                 connection.channel.close();
@@ -215,7 +233,7 @@
         for (Connection connection : new ArrayList<>(connections)) {
             if (connection.isEvictable()) {
                 // A request may have come that nobody has read yet.
-                Sockets.readNow(connection.channel);
+                connection.readNow();
                 if (connection.isIdle()) {
                     connection.channel.close();
                     return true;
@@ -249,6 +267,11 @@
         private double since = node.now();
         private boolean coming;
         private boolean served;
+        /** How much of a body had come at the last look, and when it, or an answer, last moved. */
+        private long moved;
+        private double movedAt = since;
+        /** Run when more of an answer can be taken that is passed on as it comes; null if there is none. */
+        private Runnable drained;
         /** Whether nothing more is read as a request: where the last one ends may be in doubt. */
         private boolean ended;
         private boolean closing;
@@ -277,7 +300,32 @@
         }
 
         boolean isOverdue(double now) {
-            return isIdle() && now > since + (served && !partial() ? IDLE_MS : PATIENCE_MS);
+            return isIdle() && (partial() ? comesTooSlowly(now)
+                    : now > since + (served ? IDLE_MS : PATIENCE_MS));
+        }
+
+        private boolean comesTooSlowly(double now) {
+            return now > since + PATIENCE_MS
+                    && (now > since + PATIENCE_MS + whole.received() / SLOWEST || now > movedAt + GAP_MS);
+        }
+
+        /** Ends what is at work with a body that does not come, or an answer that is not taken. */
+        void checkTransfer(double now) {
+            if (current instanceof LargeRequest large && !large.upload.isWhole() && !closing
+                    && channel.config().isAutoRead() && comesTooSlowly(now)) {
+                silent++;
+                large.upload.fail(ReadTimeoutException.INSTANCE);
+            } else if (drained != null && !channel.isWritable() && now > movedAt + UpstreamClient.STALL_MS) {
+                silent++;
+                channel.close();
+            }
+        }
+
+        /** Reads what the kernel holds, unless that is to wait. */
+        void readNow() {
+            if (channel.config().isAutoRead()) {
+                Sockets.readNow(channel);
+            }
         }
 
         @Override
@@ -287,6 +335,10 @@
                 coming = !coming;
                 since = node.now();
             }
+            if (whole.received() != moved) {
+                moved = whole.received();
+                movedAt = node.now();
+            }
             ctx.fireChannelReadComplete();
         }
 
@@ -322,9 +374,7 @@
             current = request;
             exchange = null;
             if (!request.decoderResult().isSuccess()) {
-                boolean tooLong = request.decoderResult().cause() instanceof TooLongHttpContentException;
-                reject(tooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
-                        "malformed HTTP");
+                reject(status(request.decoderResult().cause()), "malformed HTTP");
                 return;
             }
             if (request.uri().equals("/_health")) {
@@ -354,18 +404,84 @@
             write(status, body.retain(), retryAfter);
         }
 
+        @Override
+        public void begin(long length, Runnable writable) {
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            if (length >= 0) {
+                response.headers().set("Content-Length", length);
+            } else if (current.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+                HttpUtil.setTransferEncodingChunked(response, true);
+            } else {
+                ended = true;
+            }
+            closing |= draining || ended && ahead.isEmpty();
+            if (closing) {
+                response.headers().set("Connection", "close");
+            }
+            drained = writable;
+            movedAt = node.now();
+            // What the kernel holds for a slow caller would hide for seconds whether it takes anything.
+            channel.config().setOption(ChannelOption.SO_SNDBUF, SEND_BUFFER);
+            channel.write(response);
+        }
+
+        @Override
+        public void piece(ByteBuf piece) {
+            channel.writeAndFlush(new DefaultHttpContent(piece));
+        }
+
+        @Override
+        public boolean isWritable() {
+            return channel.isWritable();
+        }
+
+        @Override
+        public void end() {
+            finish(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+
+        @Override
+        public void abort() {
+            // Where only the end of the connection ends an answer, nothing but a reset tells.
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            exchange = null;
+            channel.close();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            movedAt = node.now();
+            if (drained != null && channel.isWritable()) {
+                drained.run();
+            }
+            ctx.fireChannelWritabilityChanged();
+        }
+
         /** Writes an answer and goes on to the next request; takes the body over. */
         private void write(HttpResponseStatus status, ByteBuf body, double retryAfter) {
-            FullHttpRequest request = current;
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
             response.headers().set("Content-Length", body.readableBytes());
             if (retryAfter > 0) {
                 response.headers().set("Retry-After", UpstreamClient.seconds(Math.ceil(retryAfter)));
             }
-            closing |= draining || ended && ahead.isEmpty();
+            boolean early = current instanceof LargeRequest large && !large.upload.isWhole();
+            // The rest of its body is still to come, and may be long.
+            ended |= early;
+            closing |= early || draining || ended && ahead.isEmpty();
             if (closing) {
                 response.headers().set("Connection", "close");
             }
+            finish(response);
+        }
+
+        /** Writes the end of an answer and goes on to the next request. */
+        private void finish(HttpObject last) {
+            FullHttpRequest request = current;
+            boolean early = request instanceof LargeRequest large && !large.upload.isWhole();
+            if (early) {
+                ((LargeRequest) request).upload.discard();
+            }
+            drained = null;
             request.release();
             current = null;
             exchange = null;
@@ -375,11 +491,11 @@
             connections.remove(this);
             connections.add(this);
             if (closing && ahead.isEmpty()) {
-                channel.writeAndFlush(response).addListener(written -> linger());
+                channel.writeAndFlush(last).addListener(written -> linger(early));
                 loop.schedule(() -> channel.close(), UNREAD_MS, TimeUnit.MILLISECONDS);
                 return;
             }
-            channel.writeAndFlush(response);
+            channel.writeAndFlush(last);
             FullHttpRequest next = ahead.pollFirst();
             if (next != null) {
                 handle(next);
@@ -390,21 +506,24 @@
          * Ends the sending, and closes once the caller has done so too or has had its time: to close on bytes
          * that are still coming in would reset the connection and could take the answer with it.
          */
-        private void linger() {
+        private void linger(boolean early) {
             ((SocketChannel) channel).shutdownOutput();
-            loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            if (!early) {
+                loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
             listening.config().setAutoRead(true);
-            ahead.forEach(FullHttpRequest::release);
+            drained = null;
+            ahead.forEach(Frontend::drop);
             ahead.clear();
             Exchange left = exchange;
             exchange = null;
             if (current != null) {
-                current.release();
+                drop(current);
                 current = null;
             }
             if (left != null) {
@@ -424,6 +543,26 @@
         }
     }
 
+    /** Forgets a request that will have no answer. */
+    private static void drop(FullHttpRequest request) {
+        request.release();
+        if (request instanceof LargeRequest large) {
+            large.upload.discard();
+        }
+    }
+
+    /** How to tell a caller that its request can't be read. */
+    static HttpResponseStatus status(Throwable cause) {
+        return cause instanceof TooLongHttpContentException ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+                : cause instanceof ReadTimeoutException ? HttpResponseStatus.REQUEST_TIMEOUT
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
+    /** A caller was turned down whose body could not be read. */
+    void turnedDown() {
+        malformed++;
+    }
+
     /** A request as the module wants it, but for its id. */
     private record Template(int serviceClass, int tenant, long key, double deadline, double cost,
             boolean retry, boolean write) {
--- /dev/null
+++ b/src/main/java/cranedeal/node/LargeRequest.java
@@ -0,0 +1,28 @@
+package cranedeal.node;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+
+/** A request whose body comes on its own. */
+final class LargeRequest extends DefaultFullHttpRequest {
+
+    final Upload upload;
+
+    LargeRequest(HttpRequest head, Upload upload) {
+        super(head.protocolVersion(), head.method(), head.uri(), Unpooled.EMPTY_BUFFER, head.headers(),
+                new DefaultHttpHeaders());
+        this.upload = upload;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other;
+    }
+
+    @Override
+    public int hashCode() {
+        return System.identityHashCode(this);
+    }
+}
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -30,6 +30,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -53,6 +54,7 @@
     private static final long DRAIN_CHECK_MS = 10;
     /** How often to look what another process of this balancer does. */
     private static final long LOOK_AROUND_MS = 250;
+    private static final long LARGE_CHECK_MS = 1_000;
     /** How many upstreams are remembered as listed at some time. */
     private static final int MOST_KNOWN = 10_000;
     /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
@@ -415,9 +417,7 @@
     /** Fails a request over the module's head and tells it that the client waits no more. */
     private void fail(Exchange exchange, HttpResponseStatus status) {
         exchange.answer(status, Unpooled.EMPTY_BUFFER, 0);
-        exchange.attempts.forEach(Node::cancel);
-        tell(null, () -> balancer.clientGone(clock.now(), exchange.id));
-        settle(exchange);
+        leave(exchange);
     }
 
     private void told(Change change, Roster roster) {
@@ -440,16 +440,62 @@
         Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()), message,
                 request.deadline(), caller, figures);
         exchanges.put(exchange.id, exchange);
+        exchange.arrivedAt = clock.now();
+        if (exchange.upload == null) {
+            watch(exchange);
+            tell(exchange, () -> balancer.request(clock.now(), request));
+        } else {
+            receive(exchange, request);
+        }
+        return exchange;
+    }
+
+    /** Takes in a request whose body comes on its own: its client's time counts from the last byte. */
+    private void receive(Exchange exchange, Request request) {
+        double patience = request.deadline() - exchange.arrivedAt;
+        watch(exchange);
+        exchange.deadline = Double.POSITIVE_INFINITY;
+        exchange.arrivedAt = Double.NaN;
+        tell(exchange, () -> balancer.requestBegun(clock.now(), request));
+        exchange.upload.own(new Upload.Owner() {
+            @Override
+            public void arrived() {
+                if (!exchange.isOpen()) {
+                    return;
+                }
+                exchange.arrivedAt = clock.now();
+                exchange.deadline = clock.now() + patience;
+                exchange.overdue.cancel(false);
+                watch(exchange);
+                exchange.attempts.stream().filter(Objects::nonNull)
+                        .forEach(attempt -> attempt.waitUntil(exchange.deadline));
+                tell(exchange, () -> balancer.bodyArrived(clock.now(), exchange.id, exchange.deadline));
+            }
+
+            @Override
+            public void broken(Exception cause) {
+                if (exchange.isOpen() && !exchange.isStreaming()) {
+                    frontend.turnedDown();
+                    exchange.reject(Frontend.status(cause), Unpooled.EMPTY_BUFFER);
+                    leave(exchange);
+                }
+            }
+        });
+    }
+
+    /** Sees to it that a request has its answer, soon after its time is over at the latest. */
+    private void watch(Exchange exchange) {
         double latest = exchange.deadline + config.settings().rules().answerGrace() / 2;
         exchange.overdue = loop.schedule(() -> overdue(exchange), clock.nanosUntil(latest),
                 TimeUnit.NANOSECONDS);
-        tell(exchange, () -> balancer.request(clock.now(), request));
-        return exchange;
     }
 
     /** The module has left a request without its answer; it must not stay so. */
     private void overdue(Exchange exchange) {
-        if (exchange.isOpen()) {
+        if (exchange.isOpen() && Double.isNaN(exchange.arrivedAt) && exchange.running > 0) {
+            // An attempt takes its body, and is watched for whether that moves on.
+            exchange.overdue = loop.schedule(() -> overdue(exchange), LARGE_CHECK_MS, TimeUnit.MILLISECONDS);
+        } else if (exchange.isOpen()) {
             LOG.warning("a request was left without an answer");
             fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT);
         }
@@ -458,29 +504,67 @@
     /** The client has closed its connection. */
     void clientGone(Exchange exchange) {
         if (exchange.isOpen()) {
+            boolean large = exchange.upload != null || exchange.isStreaming();
             exchange.close();
-            tell(exchange, () -> balancer.clientGone(clock.now(), exchange.id));
-            settle(exchange);
+            if (large) {
+                leave(exchange);
+            } else {
+                tell(exchange, () -> balancer.clientGone(clock.now(), exchange.id));
+                settle(exchange);
+            }
         }
     }
 
+    /** Ends what is under way for a client that waits no more, and tells the module so. */
+    private void leave(Exchange exchange) {
+        exchange.attempts.forEach(Node::cancel);
+        tell(exchange, () -> balancer.clientGone(clock.now(), exchange.id));
+        settle(exchange);
+    }
+
     private void finished(Exchange exchange, int number, long upstream, double sentAt, Result result,
             FullHttpResponse response) {
         exchange.running--;
         double[] report = response == null || config.settings().reports() != Reports.PIGGYBACK ? null
                 : LoadReport.parse(response.headers().get("X-Pressure"), config.settings().reportFields());
-        if (result == Result.OK) {
+        if (exchange.isStreaming()) {
+            if (result == Result.OK) {
+                exchange.end();
+            } else {
+                exchange.answer(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
+            }
+        } else if (result == Result.OK) {
             exchange.answer(HttpResponseStatus.OK, response.content(), 0);
         }
         tell(exchange, () -> balancer.attemptFinished(clock.now(), new Outcome(exchange.id, number, upstream,
-                result, !exchange.isOpen(), clock.now() - sentAt, report)));
+                result, !exchange.isOpen(), elapsed(exchange, sentAt), report)));
         settle(exchange);
     }
 
+    /** How long an upstream has had a request: it can't begin before it has the whole body. */
+    private double elapsed(Exchange exchange, double sentAt) {
+        return Double.isNaN(exchange.arrivedAt) ? 0 : clock.now() - Math.max(sentAt, exchange.arrivedAt);
+    }
+
+    /** An answer too large to be held has begun; null if nobody waits for it. */
+    private Download begun(Exchange exchange, int number, double sentAt, UpstreamClient.Attempt attempt,
+            long length) {
+        if (!exchange.isOpen() || exchange.isStreaming()) {
+            return null;
+        }
+        Download download = exchange.begin(length, attempt::resume);
+        tell(exchange, () -> balancer.streamStarted(clock.now(), exchange.id, number,
+                elapsed(exchange, sentAt)));
+        return download;
+    }
+
     /** Forgets a request once nothing more can come of it. */
     private void settle(Exchange exchange) {
         if (!exchange.isOpen() && exchange.running == 0 && exchanges.remove(exchange.id) != null) {
             exchange.request.release();
+            if (exchange.upload != null) {
+                exchange.upload.discard();
+            }
         }
     }
 
@@ -500,14 +584,25 @@
         int number = exchange.sends++;
         exchange.running++;
         if (!exchange.isOpen() || now >= exchange.deadline
-                || number >= config.settings().limits().maxAttempts()) {
+                || number >= config.settings().limits().maxAttempts()
+                || exchange.upload != null && !exchange.upload.isRepeatable()) {
             exchange.attempts.add(null);
             finished(exchange, number, upstream, now, Result.NOT_SENT, null);
             return;
         }
         double until = timeout == 0 ? exchange.deadline : Math.min(exchange.deadline, now + timeout);
-        exchange.attempts.add(upstreams.send(upstream, exchange.request, until,
-                (result, response) -> finished(exchange, number, upstream, now, result, response)));
+        UpstreamClient.Listener listener = new UpstreamClient.Listener() {
+            @Override
+            public void finished(Result result, FullHttpResponse response) {
+                Node.this.finished(exchange, number, upstream, now, result, response);
+            }
+
+            @Override
+            public Download begun(UpstreamClient.Attempt attempt, long length) {
+                return Node.this.begun(exchange, number, now, attempt, length);
+            }
+        };
+        exchange.attempts.add(upstreams.send(upstream, exchange.request, until, listener));
     }
 
     @Override
--- a/src/main/java/cranedeal/node/NodeConfig.java
+++ b/src/main/java/cranedeal/node/NodeConfig.java
@@ -22,8 +22,8 @@
  * @param known the upstreams as this balancer last had them
  */
 record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
-        long seed, int sockets, Settings settings, List<String> zones, List<String> kinds, List<String> classes,
-        List<String> tenants, Roster known) {
+        long seed, int sockets, Settings settings, List<String> zones, List<String> kinds,
+        List<String> classes, List<String> tenants, Roster known) {
 
     static final JsonMapper JSON = new JsonMapper();
 
--- a/src/main/java/cranedeal/node/Orders.java
+++ b/src/main/java/cranedeal/node/Orders.java
@@ -15,8 +15,8 @@
 import java.util.TreeSet;
 
 /**
- * What operators have ordered and not taken back: which upstreams are out of use, and whether callers are sent
- * away.
+ * What operators have ordered and not taken back: which upstreams are out of use, and whether callers are
+ * sent away.
  *
  * @param out the ids of the upstreams, as discovery has them
  */
@@ -79,7 +79,8 @@
         }
         Path fresh = Files.createTempFile(folder, FILE, null);
         Files.write(fresh, lines);
-        Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
     }
 
     /** An id may hold any character, also one that would end its line. */
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -5,6 +5,7 @@
 import cranedeal.LoadBalancer.State;
 import cranedeal.node.Roster.Member;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -17,14 +18,21 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.util.ArrayDeque;
@@ -49,6 +57,8 @@
     /** How long a reset counts as a witness for another, and the limit that it teaches takes to double. */
     private static final double WITNESS_MS = 30_000;
     private static final double TELL_EVERY_MS = 10_000;
+    /** How long nothing may move of a large body or answer before its attempt is over. */
+    static final double STALL_MS = 10_000;
     private static final int MILLI = 3;
     /** What a caller says of its own connection is not for the next. */
     private static final List<String> HOP_BY_HOP = List.of("Connection", "Keep-Alive", "Proxy-Connection",
@@ -57,8 +67,19 @@
     /** Who waits for an attempt. */
     interface Listener {
 
-        /** Called once, when the attempt is over; the response, null if none came, is not to be kept. */
+        /**
+         * Called once, when the attempt is over; the response, null if none came whole or in one piece, is
+         * not to be kept.
+         */
         void finished(Result result, FullHttpResponse response);
+
+        /**
+         * A served answer has begun that is too large to be held; its length is negative if not known.
+         * Returns who takes it, null for nobody.
+         */
+        default Download begun(Attempt attempt, long length) {
+            return null;
+        }
     }
 
     private final EventLoop loop;
@@ -69,6 +90,8 @@
     private final Bootstrap bootstrap;
     private final Map<Long, Target> targets = new HashMap<>();
     private final Set<Long> banned = new HashSet<>();
+    /** The attempts that move a large body or answer. */
+    private final Set<Attempt> moving = new HashSet<>();
     /** How long connections may have been idle for another use, as resets have taught; and when they did. */
     private double taughtIdle = Double.POSITIVE_INFINITY;
     private double taughtAt;
@@ -96,7 +119,7 @@
                     protected void initChannel(Channel channel) {
                         ResponseDecoder decoder = new ResponseDecoder();
                         channel.pipeline().addLast(new HttpRequestEncoder(), decoder,
-                                new HttpObjectAggregator(MAX_BODY), new Connection(channel, decoder));
+                                new ResponseAggregator(MAX_BODY), new Connection(channel, decoder));
                     }
                 });
         sockets.evictUpstreamsWith(this::evictIdle);
@@ -174,7 +197,7 @@
 
     /**
      * Sends a request to an upstream and waits until the given time. {@code body} and {@code listener} are
-     * used until the listener has been called.
+     * used until the listener has been called. A body that is still on its way has all its time.
      */
     Attempt send(long upstream, FullHttpRequest request, double until, Listener listener) {
         return send(upstream, request, false, until, listener);
@@ -182,7 +205,8 @@
 
     private Attempt send(long upstream, FullHttpRequest request, boolean probe, double until,
             Listener listener) {
-        Attempt attempt = new Attempt(request, probe, until, listener);
+        Attempt attempt = new Attempt(request, probe, listener);
+        attempt.waitUntil(until);
         attempt.start(targets.get(upstream));
         return attempt;
     }
@@ -207,6 +231,8 @@
             toldAt = clock.now();
             unreadable = 0;
         }
+        double still = clock.now() - STALL_MS;
+        List.copyOf(moving).stream().filter(attempt -> attempt.isStalled(still)).forEach(Attempt::expire);
         double oldest = clock.now() - longestIdle();
         for (Target target : targets.values()) {
             while (!target.idle.isEmpty() && target.idle.peekFirst().idleSince < oldest) {
@@ -265,26 +291,38 @@
     }
 
     /** One request on its way to one upstream. */
-    final class Attempt {
+    final class Attempt implements Upload.Sink {
 
         private final FullHttpRequest request;
         private final boolean probe;
-        private final double until;
+        /** The body if it comes on its own; null for others. */
+        private final Upload upload;
         private final Listener listener;
-        private final Future<?> expiry;
+        private double until;
+        private Future<?> expiry;
         private Target target;
         private Channel channel;
         /** How long its connection had been idle; NaN for a new one. */
         private double idleFor = Double.NaN;
         private boolean written;
         private boolean over;
+        /** Who takes the answer, once a large one has begun; and when something last moved. */
+        private Download download;
+        private double movedAt;
 
-        private Attempt(FullHttpRequest request, boolean probe, double until, Listener listener) {
+        private Attempt(FullHttpRequest request, boolean probe, Listener listener) {
             this.request = request;
             this.probe = probe;
-            this.until = until;
             this.listener = listener;
-            expiry = loop.schedule(this::expire, clock.nanosUntil(until), TimeUnit.NANOSECONDS);
+            upload = request instanceof LargeRequest large ? large.upload : null;
+        }
+
+        /** Sets how long to wait; infinity for a body that is on its way. */
+        void waitUntil(double given) {
+            until = given;
+            if (!over && download == null && until < Double.POSITIVE_INFINITY) {
+                expiry = loop.schedule(this::expire, clock.nanosUntil(until), TimeUnit.NANOSECONDS);
+            }
         }
 
         private void start(Target to) {
@@ -320,36 +358,120 @@
             double now = clock.now();
             // NaN compares false: a ready upstream takes anything.
             boolean drained = now >= target.toldOff + settings.rules().drainGrace();
-            if (drained || now >= until) {
+            if (drained || now >= until || upload != null && !upload.isRepeatable()) {
                 connection.park(target);
                 end(Result.CONNECT_FAILED, null);
                 return;
             }
             idleFor = now - connection.idleSince;
             connection.carry(this);
-            FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                    request.uri(), request.content().retainedDuplicate());
-            copy.headers().set(request.headers());
-            HOP_BY_HOP.forEach(copy.headers()::remove);
-            copy.headers().set("Host", target.member.address().getHostString());
-            // Rounded down: the upstream must not take this balancer to be more patient than it is.
-            copy.headers().set("X-Remaining", seconds(until - now));
-            channel.writeAndFlush(copy).addListener(write -> {
-                written = write.isSuccess();
-                if (!written) {
+            if (upload == null) {
+                FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
+                        request.uri(), request.content().retainedDuplicate());
+                address(copy.headers(), now);
+                channel.writeAndFlush(copy).addListener(this::wroteAll);
+                return;
+            }
+            HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
+            address(head.headers(), now);
+            HttpUtil.setTransferEncodingChunked(head, upload.length < 0);
+            move();
+            channel.write(head);
+            upload.feed(this);
+        }
+
+        private void address(HttpHeaders headers, double now) {
+            headers.set(request.headers());
+            HOP_BY_HOP.forEach(headers::remove);
+            headers.set("Host", target.member.address().getHostString());
+            if (until < Double.POSITIVE_INFINITY) {
+                // Rounded down: the upstream must not take this balancer to be more patient than it is.
+                headers.set("X-Remaining", seconds(until - now));
+            }
+        }
+
+        private void wroteAll(io.netty.util.concurrent.Future<? super Void> write) {
+            written = write.isSuccess();
+            if (!written) {
+                broke();
+            } else if (!probe) {
+                figures.dispatched();
+            }
+        }
+
+        @Override
+        public void piece(ByteBuf piece) {
+            channel.writeAndFlush(new DefaultHttpContent(piece)).addListener(write -> {
+                move();
+                if (!write.isSuccess()) {
                     broke();
-                } else if (!probe) {
-                    figures.dispatched();
                 }
             });
         }
 
+        @Override
+        public void end() {
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(this::wroteAll);
+        }
+
+        @Override
+        public boolean isWritable() {
+            return channel.isWritable();
+        }
+
+        private void move() {
+            if (!over) {
+                movedAt = clock.now();
+                moving.add(this);
+            }
+        }
+
+        /** Whether it is this side that waits, and has since before the given time. */
+        private boolean isStalled(double since) {
+            return movedAt < since && (download == null ? !written && !channel.isWritable()
+                    : download.isWritable());
+        }
+
+        /** Takes no more of its answer until {@link #resume}. */
+        private void pause() {
+            channel.config().setAutoRead(false);
+        }
+
+        /** Its answer can be taken on. */
+        void resume() {
+            if (!over) {
+                move();
+                channel.config().setAutoRead(true);
+            }
+        }
+
+        /** A large answer has begun. */
+        private boolean begun(HttpResponse head) {
+            download = listener.begun(this, HttpUtil.getContentLength(head, -1L));
+            if (download == null || over) {
+                return false;
+            }
+            if (expiry != null) {
+                expiry.cancel(false);
+            }
+            move();
+            return true;
+        }
+
+        private void answer(ByteBuf piece) {
+            move();
+            download.piece(piece);
+            if (!over && !download.isWritable()) {
+                pause();
+            }
+        }
+
         /** The connection is of no more use: what was not written whole can't have run. */
         private void broke() {
             if (!over && written && !Double.isNaN(idleFor)) {
                 wasReset(target, idleFor);
             }
-            giveUp(written ? Result.RESET : Result.CONNECT_FAILED);
+            giveUp(written || download != null ? Result.RESET : Result.CONNECT_FAILED);
         }
 
         private void expire() {
@@ -366,9 +488,7 @@
          * outcome would otherwise overtake it, and be a second copy.
          */
         private void giveUp(Result result) {
-            if (!over) {
-                over = true;
-                expiry.cancel(false);
+            if (close()) {
                 if (channel != null) {
                     channel.close();
                 }
@@ -376,23 +496,36 @@
             }
         }
 
-        private void answered(FullHttpResponse response) {
-            int status = response.status().code();
-            boolean turnedAway = (status == 503 || status == 504)
-                    && "1".equals(response.headers().get("X-Turned-Away"));
-            Result result = turnedAway ? Result.FULL : status == 200 ? Result.OK : Result.ERROR;
-            end(result, response);
+        private void end(Result result, FullHttpResponse response) {
+            if (close()) {
+                listener.finished(result, response);
+            }
         }
 
-        private void end(Result result, FullHttpResponse response) {
-            if (!over) {
-                over = true;
+        /** It is over; false if it was so before. */
+        private boolean close() {
+            if (over) {
+                return false;
+            }
+            over = true;
+            if (expiry != null) {
                 expiry.cancel(false);
-                listener.finished(result, response);
             }
+            moving.remove(this);
+            if (upload != null) {
+                upload.leave(this);
+            }
+            return true;
         }
     }
 
+    private static Result result(HttpResponse response) {
+        int status = response.status().code();
+        boolean turnedAway = (status == 503 || status == 504)
+                && "1".equals(response.headers().get("X-Turned-Away"));
+        return turnedAway ? Result.FULL : status == 200 ? Result.OK : Result.ERROR;
+    }
+
     private Connection takeIdle(Target target) {
         double oldest = clock.now() - longestIdle();
         for (Connection c = target.idle.pollLast(); c != null; c = target.idle.pollLast()) {
@@ -412,13 +545,17 @@
     }
 
     /** A connection to an upstream; it belongs to one attempt at a time. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
 
         final Channel channel;
         private final ResponseDecoder decoder;
         double idleSince = Double.NaN;
         private Attempt carried;
         private Target home;
+        /** The answer that comes in pieces; null for none. */
+        private HttpResponse passing;
+        /** Whether the connection broke rather than ended. */
+        private boolean broken;
 
         Connection(Channel channel, ResponseDecoder decoder) {
             this.channel = channel;
@@ -436,6 +573,7 @@
             carried = null;
             decoder.await(false);
             home = target;
+            channel.config().setAutoRead(true);
             if (!Double.isNaN(target.toldOff)) {
                 channel.close();
                 return;
@@ -445,7 +583,75 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+            if (part instanceof FullHttpResponse whole) {
+                answered(whole);
+            } else if (part instanceof HttpResponse head) {
+                begun(head);
+            } else if (part instanceof HttpContent content && passing != null) {
+                passOn(content);
+            }
+        }
+
+        /** An answer that is passed on as it comes: a served one. */
+        private void begun(HttpResponse head) {
+            Attempt attempt = carried;
+            boolean early = attempt != null && !attempt.written && head.status().code() == 200;
+            unreadable += early ? 1 : 0;
+            if (attempt == null) {
+                channel.close();
+            } else if (early || head.status().code() != 200) {
+                carried = null;
+                attempt.giveUp(early ? Result.ERROR : result(head));
+            } else if (attempt.begun(head)) {
+                passing = head;
+            } else {
+                carried = null;
+                attempt.giveUp(Result.ERROR);
+            }
+        }
+
+        private void passOn(HttpContent content) {
+            Attempt attempt = carried;
+            if (attempt == null || attempt.over) {
+                channel.close();
+                return;
+            }
+            boolean last = content instanceof LastHttpContent;
+            if (content.decoderResult().isFailure()) {
+                unreadable++;
+                carried = null;
+                attempt.giveUp(Result.ERROR);
+                return;
+            }
+            if (content.content().isReadable()) {
+                attempt.answer(content.content().retain());
+            }
+            if (last && !isWhole(passing)) {
+                attempt.broke();
+            } else if (last) {
+                boolean keep = HttpUtil.isKeepAlive(passing) && !decoder.hasSurplus();
+                carried = null;
+                passing = null;
+                attempt.end(Result.OK, null);
+                keepOrClose(keep);
+            }
+        }
+
+        /** Whether an answer whose end has come is whole: one may end with its connection if it says so. */
+        private boolean isWhole(HttpResponse response) {
+            return channel.isActive() || !broken && !HttpUtil.isKeepAlive(response);
+        }
+
+        private void keepOrClose(boolean keep) {
+            if (keep && channel.isActive()) {
+                park(home);
+            } else {
+                channel.close();
+            }
+        }
+
+        private void answered(FullHttpResponse response) {
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL
                     && response.decoderResult().isSuccess()) {
                 return;
@@ -454,22 +660,22 @@
             carried = null;
             if (attempt == null) {
                 channel.close();
-            } else if (!channel.isActive()) {
+            } else if (!isWhole(response)) {
                 // What the end of the connection completes is no answer: a crash would look like that too.
                 attempt.broke();
+            } else if (response.decoderResult().isSuccess() && !attempt.written && attempt.upload != null
+                    && response.status().code() != 200) {
+                // An upstream need not read all of what it turns away.
+                attempt.giveUp(result(response));
             } else if (!response.decoderResult().isSuccess() || !attempt.written) {
                 // What comes before the request is out as a whole can be no answer to it.
                 unreadable++;
                 attempt.giveUp(Result.ERROR);
             } else {
                 boolean keep = !attempt.over && HttpUtil.isKeepAlive(response) && !decoder.hasSurplus();
-                attempt.answered(response);
+                attempt.end(result(response), response);
                 // Only now: the module's next send must not read from a connection that is being read.
-                if (keep && channel.isActive()) {
-                    park(home);
-                } else {
-                    channel.close();
-                }
+                keepOrClose(keep);
             }
         }
 
@@ -484,9 +690,17 @@
             ctx.fireChannelInactive();
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (carried != null && carried.upload != null) {
+                carried.upload.writable();
+            }
+            ctx.fireChannelWritabilityChanged();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            boolean broken = cause instanceof IOException
+            broken = cause instanceof IOException
                     || cause instanceof PrematureChannelClosureException;
             if (carried != null && !broken) {
                 // An answer that is too large or no HTTP: the upstream has had the request.
--- a/src/test/java/cranedeal/Bench.java
+++ b/src/test/java/cranedeal/Bench.java
@@ -102,6 +102,17 @@
                 !open.contains(sent.request()), elapsed, null));
     }
 
+    /** A request whose body is still to come, with the whole deadline of its class. */
+    void begin(long id, int serviceClass) {
+        open.add(id);
+        balancer.requestBegun(now, new Request(id, serviceClass, 0, id,
+                now + settings.classes().get(serviceClass).deadline(), 0, false, false));
+    }
+
+    void bodyArrived(long id, double deadline) {
+        balancer.bodyArrived(now, id, deadline);
+    }
+
     void streamStarted(Sent sent) {
         balancer.streamStarted(now, sent.request(), sent.attempt(), now - sent.at());
     }
--- /dev/null
+++ b/src/test/java/cranedeal/node/LargeTest.java
@@ -0,0 +1,330 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cranedeal.LoadBalancer.Result;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Bodies and answers that are too large to be held go on as they come, both ways. */
+@Timeout(60)
+class LargeTest {
+
+    private static final String BODY = "0123456789abcdef".repeat(20_000);
+    private static final int HALF = BODY.length() / 2;
+
+    private static String post(String framing) {
+        return "POST /credit-spend HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Lane: credit-spend\r\n"
+                + "X-Remaining: 10\r\n" + framing + "\r\n\r\n";
+    }
+
+    private static String bytes(Peer peer, int count) throws IOException {
+        return new String(peer.socket.getInputStream().readNBytes(count), StandardCharsets.ISO_8859_1);
+    }
+
+    /** What comes until an empty line. */
+    private static String head(Peer peer) throws IOException {
+        InputStream in = peer.socket.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            head.append((char) in.read());
+        }
+        return head.toString();
+    }
+
+    private static String chunked(String body) {
+        StringBuilder text = new StringBuilder();
+        for (int at = 0; at < body.length(); at += 10_000) {
+            String chunk = body.substring(at, Math.min(body.length(), at + 10_000));
+            text.append(Integer.toHexString(chunk.length())).append(";part=1\r\n");
+            text.append(chunk).append("\r\n");
+        }
+        return text + "0\r\nX-Sum: 7\r\n\r\n";
+    }
+
+    /** The body of a chunked message. */
+    private static String unchunked(Peer peer) throws IOException {
+        StringBuilder body = new StringBuilder();
+        InputStream in = peer.socket.getInputStream();
+        while (true) {
+            StringBuilder size = new StringBuilder();
+            for (int c = in.read(); c != '\n'; c = in.read()) {
+                if (c < 0) {
+                    throw new IOException("the stream has ended within a body");
+                }
+                size.append((char) c);
+            }
+            int length = Integer.parseInt(size.toString().strip(), 16);
+            body.append(bytes(peer, length));
+            in.readNBytes(2);
+            if (length == 0) {
+                return body.toString();
+            }
+        }
+    }
+
+    @Test
+    void aBodyReachesTheUpstreamWhileItStillComes() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(post("Content-Length: " + BODY.length()));
+            caller.write(BODY.substring(0, HALF));
+            Peer upstream = stage.upstreams.get(0).accept();
+            assertTrue(head(upstream).contains("\r\nContent-Length: " + BODY.length() + "\r\n"));
+            assertEquals(BODY.substring(0, HALF), bytes(upstream, HALF));
+            caller.write(BODY.substring(HALF));
+            assertEquals(BODY.substring(HALF), bytes(upstream, BODY.length() - HALF));
+            upstream.write(Stage.ok("served"));
+            assertEquals("served", caller.read().body());
+            assertEquals(Result.OK, stage.script.result());
+            // The connection goes on as any.
+            caller.write(Stage.get("2", "10"));
+            assertTrue(head(upstream).contains("X-Txn: 2"));
+            upstream.write(Stage.ok("again"));
+            assertEquals("again", caller.read().body());
+        }
+    }
+
+    @Test
+    void aChunkedBodyKeepsItsBytes() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(post("Expect: 100-continue\r\nTransfer-Encoding: chunked"));
+            assertEquals(100, caller.read().status());
+            caller.write(chunked(BODY));
+            Peer upstream = stage.upstreams.get(0).accept();
+            head(upstream);
+            assertEquals(BODY, unchunked(upstream));
+            upstream.write(Stage.ok("served"));
+            assertEquals("served", caller.read().body());
+        }
+    }
+
+    @Test
+    void aSmallChunkedBodyGoesOnWithItsLength() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(post("Transfer-Encoding: chunked"));
+            caller.write("4\r\nbody\r\n0\r\nX-Sum: 7\r\n\r\n");
+            assertEquals("body", stage.upstreams.get(0).accept().read().body());
+        }
+    }
+
+    @Test
+    void whatNobodyHasTakenYetGoesToAnotherUpstream() throws Exception {
+        try (Stage stage = new Stage(2).start()) {
+            stage.upstreams.get(0).close();
+            stage.script.onOpen = (actions, outcome) ->
+                    actions.send(outcome.requestId(), stage.script.upstreams.get(1).id(), 0);
+            Peer caller = stage.caller();
+            caller.write(post("Content-Length: " + BODY.length()));
+            caller.write(BODY);
+            Peer upstream = stage.upstreams.get(1).accept();
+            head(upstream);
+            assertEquals(BODY, bytes(upstream, BODY.length()));
+            upstream.write(Stage.ok("served"));
+            assertEquals("served", caller.read().body());
+        }
+    }
+
+    @Test
+    void whatIsGoneCannotBeSentAgain() throws Exception {
+        try (Stage stage = new Stage(2).start()) {
+            stage.script.onOpen = (actions, outcome) -> {
+                if (outcome.result() == Result.NOT_SENT) {
+                    actions.refuse(outcome.requestId(), 0);
+                } else {
+                    actions.send(outcome.requestId(), stage.script.upstreams.get(1).id(), 0);
+                }
+            };
+            Peer caller = stage.caller();
+            caller.write(post("Content-Length: " + BODY.length()));
+            caller.write(BODY);
+            Peer upstream = stage.upstreams.get(0).accept();
+            head(upstream);
+            bytes(upstream, BODY.length());
+            upstream.write("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(Result.FULL, stage.script.result());
+            assertEquals(Result.NOT_SENT, stage.script.result());
+            assertEquals(503, caller.read().status());
+            assertEquals(0, stage.upstreams.get(1).waiting());
+        }
+    }
+
+    @Test
+    void aRefusalInTheMiddleOfABodyIsAnsweredAtOnce() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            stage.script.onRequest = request -> stage.script.actions.refuse(request.id(), 0);
+            Peer caller = stage.caller();
+            caller.write(post("Content-Length: " + BODY.length()));
+            caller.write(BODY.substring(0, HALF));
+            Peer.Message refused = caller.read();
+            assertEquals(503, refused.status());
+            assertEquals("close", refused.header("Connection"));
+            caller.write(BODY.substring(HALF));
+            assertTrue(caller.ended());
+        }
+    }
+
+    @Test
+    void aCallerThatLeavesInTheMiddleFreesTheUpstream() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(post("Content-Length: " + BODY.length()));
+            caller.write(BODY.substring(0, HALF));
+            Peer upstream = stage.upstreams.get(0).accept();
+            head(upstream);
+            bytes(upstream, HALF);
+            caller.close();
+            assertTrue(upstream.ended());
+            assertEquals(1, Script.next(stage.script.gone));
+        }
+    }
+
+    @Test
+    void aBodyThatStopsComingIsGivenUp() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(post("Content-Length: " + BODY.length()));
+            caller.write(BODY.substring(0, HALF));
+            assertEquals(408, caller.read().status());
+            assertTrue(stage.node.stats().contains("edge_proxy.concurrent=0\n"));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"zz\r\n", "5;x\r\nfive!xx\r\n"})
+    void aBodyThatCannotBeReadIsTheCallersFault(String rest) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(post("Transfer-Encoding: chunked"));
+            caller.write(Integer.toHexString(HALF) + "\r\n" + BODY.substring(0, HALF) + "\r\n" + rest);
+            assertEquals(400, caller.read().status());
+            // The attempt that had its start is broken off.
+            Peer upstream = stage.upstreams.get(0).accept();
+            assertTrue(bytes(upstream, 2 * BODY.length()).length() < BODY.length());
+            stage.servesStill();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAnswerReachesTheCallerWhileItStillComes(boolean chunked) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            String whole = chunked ? chunked(BODY) : BODY;
+            upstream.write("HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked"
+                    : "Content-Length: " + BODY.length()) + "\r\n\r\n" + whole.substring(0, HALF));
+            String head = head(caller);
+            assertTrue(head.startsWith("HTTP/1.1 200"), head);
+            assertEquals(1, Script.next(stage.script.streams));
+            upstream.write(whole.substring(HALF));
+            assertEquals(BODY, chunked ? unchunked(caller) : bytes(caller, BODY.length()));
+            assertEquals(Result.OK, stage.script.result());
+            assertTrue(stage.node.stats().contains("edge_proxy.success.look-up=1\n"));
+            stage.script.onRequest = request -> stage.script.sendTo(0, request, 0);
+            caller.write(Stage.get("2", "10"));
+            upstream.read();
+            upstream.write(Stage.ok("again"));
+            assertEquals("again", caller.read().body());
+        }
+    }
+
+    @Test
+    void theStartOfASlowAnswerIsNotHeldBack() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstart\r\n");
+            head(caller);
+            assertEquals("5\r\nstart\r\n", bytes(caller, 10));
+            upstream.write("3\r\nend\r\n0\r\n\r\n");
+            assertEquals("end", unchunked(caller));
+        }
+    }
+
+    @Test
+    void anAnswerThatEndsWithItsConnectionIsWholeIfItSaysSoAndWasNotCutOff() throws Exception {
+        for (boolean abruptly : new boolean[] {false, true}) {
+            try (Stage stage = new Stage().start()) {
+                Peer caller = stage.caller();
+                caller.write(Stage.get("1", "10"));
+                Peer upstream = stage.upstreams.get(0).accept();
+                upstream.read();
+                upstream.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall");
+                if (abruptly) {
+                    upstream.reset();
+                } else {
+                    upstream.close();
+                }
+                assertEquals(abruptly ? Result.RESET : Result.OK, stage.script.result());
+                assertEquals(abruptly ? 502 : 200, caller.read().status());
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aCallerCanTellThatAnAnswerIsNotWhole(boolean chunked) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            String whole = chunked ? chunked(BODY) : BODY;
+            upstream.write("HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked"
+                    : "Content-Length: " + BODY.length()) + "\r\n\r\n" + whole.substring(0, HALF));
+            head(caller);
+            upstream.close();
+            assertEquals(Result.RESET, stage.script.result());
+            assertThrows(IOException.class, () -> {
+                if (chunked) {
+                    unchunked(caller);
+                } else if (bytes(caller, BODY.length()).length() < BODY.length()) {
+                    throw new IOException("the end came too soon");
+                }
+            });
+            assertTrue(stage.node.stats().contains("edge_proxy.error.look-up=1\n"), stage.node.stats());
+        }
+    }
+
+    @Test
+    void anUpstreamIsReadNoFasterThanTheCallerReads() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            String piece = "x".repeat(1 << 20);
+            CompletableFuture<Void> written = CompletableFuture.runAsync(() -> {
+                try {
+                    upstream.write("HTTP/1.1 200 OK\r\nContent-Length: " + (32 << 20) + "\r\n\r\n");
+                    for (int i = 0; i < 32; i++) {
+                        upstream.write(piece);
+                    }
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            // Were the answer taken into memory, it would be out at once.
+            assertThrows(TimeoutException.class, () -> written.get(1, TimeUnit.SECONDS));
+            caller.close();
+            assertTrue(upstream.ended());
+        }
+    }
+}
