--- a/src/main/java/cranedeal/node/Succession.java
+++ b/src/main/java/cranedeal/node/Succession.java
@@ -8,8 +8,8 @@
 
 /**
  * The processes of one balancer: while it is upgraded there are two, the later one to replace the earlier.
- * Each has a place in their order, and locks a byte of a file that they share at that place while it lives, and a
- * second one while it serves. The system drops the locks of a process that ends, however it ends.
+ * Each has a place in their order, and locks a byte of a file that they share at that place while it lives,
+ * and a second one while it serves. The system drops the locks of a process that ends, however it ends.
  */
 final class Succession {
 
