Take new settings at SIGHUP in one step, or turn the file down whole

Before, SIGHUP moved discovery only: new classes were unknown and a file with a string for a deadline was taken.

--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -29,7 +29,8 @@
 
     final LoadBalancer.Request request;
     final LoadBalancer.ServiceClass type;
-    final ClassRecord record;
+    /** What is known of its class; another record of it after a change of settings. */
+    ClassRecord record;
     final long id;
     /** From when the request's time counts. */
     double arrivedAt;
--- a/src/main/java/cranedeal/ClassRecord.java
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -5,7 +5,8 @@
 /** What was seen of a class of requests over all servers. */
 final class ClassRecord {
 
-    final int index;
+    /** Its place in the settings; negative once they lack it. */
+    int index;
     final LoadBalancer.ServiceClass type;
     /** Served latency in ms for a request of mean cost on a mean server. */
     final Mean latency;
@@ -32,6 +33,23 @@
         slowRatio = firstRatio;
     }
 
+    /** The same class in new settings, with all that is known of it; it takes the place of this record. */
+    ClassRecord retuned(int newIndex, LoadBalancer.ServiceClass newType) {
+        return new ClassRecord(this, newIndex, newType);
+    }
+
+    private ClassRecord(ClassRecord before, int index, LoadBalancer.ServiceClass type) {
+        this.index = index;
+        this.type = type;
+        latency = before.latency;
+        hint = before.hint;
+        share = before.share;
+        refused = before.refused;
+        pressure = before.leader.pressure;
+        feltAt = before.leader.feltAt;
+        slowRatio = before.slowRatio;
+    }
+
     boolean sharesPlacement(ClassRecord other) {
         return Objects.equals(type.zones(), other.type.zones())
                 && Objects.equals(type.kinds(), other.type.kinds());
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -139,11 +139,8 @@
         settings = given;
         random = new SplittableRandom(seed);
         classes = new ClassRecord[given.classes().size()];
-        Arrays.setAll(classes, i -> new ClassRecord(i, given.classes().get(i),
-                FIRST_GUESS * given.classes().get(i).aim(), FIRST_SLOW_RATIO, FLEET_GAIN));
-        for (ClassRecord c : classes) {
-            c.leader = Arrays.stream(classes).filter(c::sharesPlacement).findFirst().orElse(c);
-        }
+        Arrays.setAll(classes, i -> unseen(i, given.classes().get(i)));
+        chooseLeaders();
         kinds = new Server.Kind[given.kinds()];
         Arrays.setAll(kinds, i -> new Server.Kind(FLEET_GAIN));
         if (given.subscribe()) {
@@ -151,6 +148,48 @@
         }
     }
 
+    private static ClassRecord unseen(int index, ServiceClass type) {
+        return new ClassRecord(index, type, FIRST_GUESS * type.aim(), FIRST_SLOW_RATIO, FLEET_GAIN);
+    }
+
+    private void chooseLeaders() {
+        for (ClassRecord c : classes) {
+            c.leader = Arrays.stream(classes).filter(c::sharesPlacement).findFirst().orElse(c);
+        }
+    }
+
+    /** All that was learnt stays, by the names of classes; a call goes on by the rules that it began with. */
+    @Override
+    public void retuned(double now, Settings given) {
+        Map<String, ClassRecord> before = new HashMap<>();
+        Arrays.stream(classes).forEach(c -> before.put(c.type.name(), c));
+        int[] places = new int[given.classes().size()];
+        Map<ClassRecord, ClassRecord> successors = new HashMap<>();
+        ClassRecord[] next = new ClassRecord[places.length];
+        for (int i = 0; i < places.length; i++) {
+            ServiceClass type = given.classes().get(i);
+            ClassRecord old = before.get(type.name());
+            places[i] = old == null ? -1 : old.index;
+            next[i] = old == null ? unseen(i, type) : old.retuned(i, type);
+            successors.put(old, next[i]);
+        }
+        calls.values().forEach(call -> call.record = successors.getOrDefault(call.record, call.record));
+        before.values().forEach(old -> old.index = -1);
+        servers.values().forEach(server -> server.retune(places));
+        classes = next;
+        chooseLeaders();
+        int known = kinds.length;
+        kinds = Arrays.copyOf(kinds, Math.max(known, given.kinds()));
+        for (int i = known; i < kinds.length; i++) {
+            kinds[i] = new Server.Kind(FLEET_GAIN);
+        }
+        if (given.subscribe() && !settings.subscribe()) {
+            actions.watch(true);
+        }
+        settings = given;
+        chooseSubset();
+    }
+
     // ---- A request arrives -------------------------------------------------------------------------
 
     @Override
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -21,6 +21,12 @@
      */
     void upstreamsChanged(double now, Change change, List<Upstream> upstreams);
 
+    /**
+     * The settings have changed; classes are known by their names. What is under way keeps its class, also
+     * one that is gone, and later requests have their index in the new settings.
+     */
+    default void retuned(double now, Settings settings) { }
+
     /**
      * Operators have taken an upstream out of use, whatever lists say of it, or have put it back. It may have
      * been restarted meanwhile. It need not be listed, and may be told twice.
--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -28,8 +28,8 @@
     /** Calls served and ended there, of all classes and of each. */
     double served;
     double tries;
-    final double[] servedOf;
-    final double[] triesOf;
+    double[] servedOf;
+    double[] triesOf;
     /** Whether it belongs to the subset of the fleet that this instance prefers. */
     boolean preferred;
     /** Sends that it has earned while cold. */
@@ -54,6 +54,20 @@
         knownSince = now;
     }
 
+    /** Takes new settings in: for each class its place before, negative for one that is new. */
+    void retune(int[] before) {
+        double[] oldServed = servedOf;
+        double[] oldTries = triesOf;
+        servedOf = new double[before.length];
+        triesOf = new double[before.length];
+        for (int i = 0; i < before.length; i++) {
+            if (before[i] >= 0) {
+                servedOf[i] = oldServed[before[i]];
+                triesOf[i] = oldTries[before[i]];
+            }
+        }
+    }
+
     /** Lets all evidence fade with the given time constant, at most once a step. */
     void fade(double now, double constant, double step) {
         if (now - fadedAt < step) {
@@ -74,10 +88,10 @@
     void count(int serviceClass, boolean wasServed) {
         kind.served.add(wasServed ? 1 : 0);
         tries += 1;
-        triesOf[serviceClass] += 1;
-        if (wasServed) {
-            served += 1;
-            servedOf[serviceClass] += 1;
+        served += wasServed ? 1 : 0;
+        if (serviceClass >= 0) {
+            triesOf[serviceClass] += 1;
+            servedOf[serviceClass] += wasServed ? 1 : 0;
         }
     }
 
@@ -89,6 +103,9 @@
     /** A class's share of calls served, pooled with that of all classes, and that with its machine type's. */
     double success(int serviceClass, double kindPool, double classPool) {
         double all = (served + kindPool * kind.served.value()) / (tries + kindPool);
+        if (serviceClass < 0) {
+            return all;
+        }
         return (servedOf[serviceClass] + classPool * all) / (triesOf[serviceClass] + classPool);
     }
 }
--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -53,7 +53,7 @@
     }
 
     private final EventLoop loop;
-    private final NodeConfig config;
+    private NodeConfig config;
     private final Listener listener;
     private final int watchMillis;
     private final Bootstrap bootstrap;
@@ -96,14 +96,15 @@
     }
 
     /**
-     * From now on asks at another address. What is out at the old one would only be cut off, and news would
-     * come late; a watch goes on from the version that it had.
+     * From now on goes by another configuration, and asks at its address. What is out at the old one would
+     * only be cut off, and news would come late; a watch goes on from the version that it had.
      */
-    void moveTo(InetSocketAddress to) {
-        if (to.equals(address)) {
+    void retune(NodeConfig replaced) {
+        config = replaced;
+        if (replaced.discovery().equals(address)) {
             return;
         }
-        address = to;
+        address = replaced.discovery();
         if (kept != null) {
             kept.close();
             kept = null;
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -86,7 +86,7 @@
     private static final int SEND_BUFFER = 128 * 1_024;
 
     private final EventLoop loop;
-    private final NodeConfig config;
+    private NodeConfig config;
     private final Sockets sockets;
     private final ByteBufAllocator memory;
     private final Node node;
@@ -111,6 +111,13 @@
         this.memory = memory;
         this.node = node;
         sockets.evictCallersWith(this::evictIdle);
+        retune(config);
+    }
+
+    /** From now on requests are read by these settings. */
+    final void retune(NodeConfig replaced) {
+        config = replaced;
+        classes.clear();
         for (int i = 0; i < config.classes().size(); i++) {
             classes.put(config.classes().get(i), i);
         }
--- a/src/main/java/cranedeal/node/Main.java
+++ b/src/main/java/cranedeal/node/Main.java
@@ -79,9 +79,9 @@
 
     private static void reload(Node node) {
         try {
-            node.reload(NodeConfig.read(System.getenv("PROXY_CONFIG")));
-        } catch (ConfigException e) {
-            Node.LOG.warning("the old configuration holds: " + e.getMessage());
+            node.reload(System.getenv("PROXY_CONFIG"));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -63,7 +63,7 @@
     /** How long before that callers are sent away: what comes until then still has time to be served. */
     private static final double SEND_AWAY_MS = 1_200;
 
-    private final NodeConfig config;
+    private volatile NodeConfig config;
     private final EventLoop loop;
     /** The processes of an upgrade; null where there are none. */
     private final Succession succession;
@@ -357,10 +357,29 @@
         return drains;
     }
 
-    /** Takes in a configuration that has been replaced: discovery may have moved. */
-    void reload(NodeConfig replaced) {
-        LOG.info("asks discovery at " + replaced.discovery() + " from now on");
-        loop.execute(() -> discovery.moveTo(replaced.discovery()));
+    /**
+     * Reads the configuration again, which may have been replaced, and goes by it from now on, or not at all.
+     * Signals come on threads of their own; what was read later must be taken later.
+     */
+    synchronized void reload(String path) throws InterruptedException {
+        try {
+            NodeConfig replaced = NodeConfig.read(path, config);
+            loop.submit(() -> retune(replaced)).sync();
+        } catch (ConfigException e) {
+            figures.reloaded(false);
+            LOG.warning("the old configuration holds: " + e.getMessage());
+        }
+    }
+
+    private void retune(NodeConfig replaced) {
+        config = replaced;
+        figures.show(replaced.classes());
+        upstreams.retune(replaced.settings());
+        frontend.retune(replaced);
+        tell(null, () -> balancer.retuned(clock.now(), replaced.settings()));
+        discovery.retune(replaced);
+        figures.reloaded(true);
+        LOG.info("goes by a new configuration; discovery is at " + replaced.discovery());
     }
 
     /** Closes callers' connections that are idle; whether none is left. */
--- a/src/main/java/cranedeal/node/NodeConfig.java
+++ b/src/main/java/cranedeal/node/NodeConfig.java
@@ -1,5 +1,6 @@
 package cranedeal.node;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import cranedeal.LoadBalancer.Settings;
@@ -10,8 +11,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What the platform tells a balancer in the file that {@code PROXY_CONFIG} names.
@@ -19,13 +23,37 @@
  * @param admin where operators call; null if they don't
  * @param sockets how many file descriptors the process may hold
  * @param zones the names of the zones, by the index that the module uses; likewise the others
+ * @param keys the keys that the file has, in the settings' classes only those that all with one effect have
  * @param known the upstreams as this balancer last had them
  */
 record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
         long seed, int sockets, Settings settings, List<String> zones, List<String> kinds,
-        List<String> classes, List<String> tenants, Roster known) {
+        List<String> classes, List<String> tenants, Set<String> keys, Roster known) {
 
-    static final JsonMapper JSON = new JsonMapper();
+    static final JsonMapper JSON = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+    private static final String CLASS = "a class that is ";
+
+    /** Reads a file that is to replace the one in force: whatever that has, it must have too. */
+    static NodeConfig read(String path, NodeConfig inForce) throws ConfigException {
+        NodeConfig config = read(path);
+        for (String key : inForce.keys) {
+            // There need not be a class with each effect.
+            String effect = key.startsWith(CLASS) ? key.substring(0, key.lastIndexOf('.')) : null;
+            boolean wanted = effect == null || config.keys.contains(effect + ".idempotency");
+            if (wanted && !config.keys.contains(key)) {
+                throw new ConfigException(path + ": " + key + " is missing");
+            }
+        }
+        if (!startsWith(config.zones, inForce.zones) || !startsWith(config.kinds, inForce.kinds)) {
+            throw new ConfigException(path + ": zones and machine types in use can't change in service");
+        }
+        return config;
+    }
+
+    private static boolean startsWith(List<String> names, List<String> first) {
+        return names.size() >= first.size() && names.subList(0, first.size()).equals(first);
+    }
 
     static NodeConfig read(String path) throws ConfigException {
         if (path == null || path.isEmpty()) {
@@ -43,6 +71,17 @@
 
     private static NodeConfig parse(JsonNode root) {
         JsonNode given = root.path("settings");
+        if (!given.isObject()) {
+            throw new IllegalArgumentException("settings is missing");
+        }
+        positive(given.path("limits").path("attemptsCap"), "settings.limits.attemptsCap");
+        for (JsonNode service : given.path("services")) {
+            positive(service.path("deadline"), "the deadline of a class");
+        }
+        List<String> classes = names(given.path("services"));
+        if (Set.copyOf(classes).size() < classes.size()) {
+            throw new IllegalArgumentException("two classes have one name");
+        }
         StringBuilder lines = new StringBuilder();
         flatten("", given, lines);
         Settings settings = SettingsParser.parse(lines.toString().getBytes(StandardCharsets.UTF_8));
@@ -51,10 +90,42 @@
         return new NodeConfig(root.path("name").asText("balancer"), address(root, "listen"), admin(root),
                 address(root, "discovery"), seed(root.path("seed").asText("")),
                 root.path("limits").path("sockets").asInt(1_024), settings, zones, kinds,
-                names(given.path("services")), names(given.path("tenants")),
+                classes, names(given.path("tenants")), keys(root),
                 Roster.parse(root.path("known"), zones, kinds));
     }
 
+    private static void positive(JsonNode value, String name) {
+        if (!value.isNumber() || !(value.doubleValue() > 0 && Double.isFinite(value.doubleValue()))) {
+            throw new IllegalArgumentException(name + " is no number above 0");
+        }
+    }
+
+    private static Set<String> keys(JsonNode root) {
+        Set<String> keys = new HashSet<>();
+        root.fieldNames().forEachRemaining(keys::add);
+        addKeys("settings.", root.path("settings"), keys);
+        Map<String, Set<String>> byEffect = new HashMap<>();
+        for (JsonNode service : root.path("settings").path("services")) {
+            Set<String> own = new HashSet<>();
+            service.fieldNames().forEachRemaining(own::add);
+            // Where a class may run is its own affair.
+            own.removeAll(List.of("runsIn", "boundTo"));
+            byEffect.computeIfAbsent(service.path("idempotency").asText(), effect -> new HashSet<>(own))
+                    .retainAll(own);
+        }
+        byEffect.forEach((effect, own) -> own.forEach(key -> keys.add(CLASS + effect + "." + key)));
+        return Set.copyOf(keys);
+    }
+
+    private static void addKeys(String path, JsonNode object, Set<String> keys) {
+        for (Map.Entry<String, JsonNode> field : object.properties()) {
+            keys.add(path + field.getKey());
+            if (field.getValue().isObject()) {
+                addKeys(path + field.getKey() + ".", field.getValue(), keys);
+            }
+        }
+    }
+
     private static InetSocketAddress address(JsonNode root, String key) {
         try {
             return Roster.address(root.path(key).asText(""));
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -84,7 +84,7 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Settings settings;
+    private Settings settings;
     private final Sockets sockets;
     private final Figures figures;
     private final Bootstrap bootstrap;
@@ -107,13 +107,10 @@
             ByteBufAllocator memory) {
         this.loop = loop;
         this.clock = clock;
-        this.settings = settings;
         this.sockets = sockets;
         this.figures = figures;
-        int connectTimeout = (int) Math.max(1, settings.limits().connectTimeout());
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -122,10 +119,18 @@
                                 new ResponseAggregator(MAX_BODY), new Connection(channel, decoder));
                     }
                 });
+        retune(settings);
         sockets.evictUpstreamsWith(this::evictIdle);
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** From now on goes by these settings; what is under way keeps its times. */
+    final void retune(Settings replaced) {
+        settings = replaced;
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                (int) Math.max(1, settings.limits().connectTimeout()));
+    }
+
     /** An upstream, its idle connections, the longest idle first, and when it last was told to be ready. */
     private static final class Target {
         Member member;
--- a/src/test/java/cranedeal/Bench.java
+++ b/src/test/java/cranedeal/Bench.java
@@ -34,7 +34,7 @@
     int watches;
     double now = 100_000;
 
-    private final Settings settings;
+    private Settings settings;
     private final LoadBalancer balancer;
     private final Map<Long, Integer> attempts = new HashMap<>();
     private final PriorityQueue<Alarm> alarms =
@@ -55,6 +55,11 @@
         balancer.upstreamBanned(now, upstream, banned);
     }
 
+    void retune(Settings replaced) {
+        settings = replaced;
+        balancer.retuned(now, replaced);
+    }
+
     int avoided() {
         return balancer.avoided();
     }
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -15,6 +15,7 @@
 import cranedeal.LoadBalancer.Group;
 import cranedeal.LoadBalancer.Repeat;
 import cranedeal.LoadBalancer.Result;
+import cranedeal.LoadBalancer.Settings;
 import cranedeal.LoadBalancer.State;
 
 /** Hand-made events in virtual time. */
@@ -972,4 +973,59 @@
         }
         assertTrue(bench.refused.isEmpty());
     }
+
+    private static Settings renamed(Settings given, int maxAttempts, String... names) {
+        List<LoadBalancer.ServiceClass> classes = Arrays.stream(names).map(name -> {
+            LoadBalancer.ServiceClass c = given.classes().get(0);
+            return new LoadBalancer.ServiceClass(name, c.aim(), c.aimStretch(), c.deadline(), c.worth(),
+                    c.lateWorth(), c.repeat(), c.group(), c.memory(), c.streamed(), c.inOrder(), c.zones(),
+                    c.kinds());
+        }).toList();
+        LoadBalancer.Limits l = given.limits();
+        return new Settings(given.position(), given.siblings(), given.tier(), given.tiers(), given.zone(),
+                given.zones(), given.kinds(), given.subscribe(), given.passesDeadline(), given.warmKeys(),
+                given.retriesMarked(), given.worthByWork(), given.overShareWorth(), given.weightKind(),
+                given.reports(), given.reportFields(), classes, given.tenants(),
+                new LoadBalancer.Limits(maxAttempts, l.maxOpen(), l.cancel(), l.parallel(), l.probes(),
+                        l.peers(), l.retryAfter(), l.maxRetryAfter(), l.connectTimeout(), l.connectionIdle(),
+                        l.streamsPerConnection(), l.cpuPerRequest(), l.cpuPerSecond()),
+                given.rules(), given.goal(), given.prices());
+    }
+
+    @Test
+    void whatWasLearntOutlastsAChangeOfSettingsAndWhatIsUnderWayToo() {
+        Settings settings = Sites.plain().tier(1).build();
+        Bench bench = new Bench(settings, 3);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3));
+        // The second class fails at the first server.
+        for (int i = 0; i < 600; i++) {
+            bench.request(i, 1);
+            bench.advance(10);
+            while (bench.isOpen(i)) {
+                Bench.Sent sent = bench.lastSend();
+                bench.finish(sent, sent.upstream() == 1 ? Result.ERROR : Result.OK);
+            }
+        }
+        bench.request(1_000, 0);
+        Bench.Sent underWay = bench.lastSend();
+        // The first class goes, a new one comes, and the second moves.
+        bench.retune(renamed(settings, 1, "third", "second", "fourth"));
+        bench.finish(underWay, Result.ERROR);
+        assertFalse(bench.isOpen(1_000), "one attempt is allowed now");
+        int refused = bench.refused.size();
+        int toFailing = 0;
+        for (int i = 2_000; i < 2_100; i++) {
+            bench.request(i, 1);
+            toFailing += bench.lastSend().upstream() == 1 ? 1 : 0;
+            bench.advance(10);
+            bench.finish(bench.lastSend(), Result.OK);
+        }
+        assertTrue(toFailing < 15, "to the failing server: " + toFailing);
+        for (int i = 3_000; i < 3_100; i++) {
+            bench.request(i, i % 2 * 2);
+            bench.advance(10);
+            bench.finish(bench.lastSend(), Result.OK);
+        }
+        assertEquals(refused, bench.refused.size());
+    }
 }
