Cut off no head on its way in a drain, and let no order undo SIGTERM's

Found in review: a drain closed connections with half a head on them ('isIdle && !partial', where partial meant that the head was whole), and 'drain/stop' after SIGTERM took back its drain. DoorTest has both. Also: at most 32 KiB of a large transfer wait for a socket, a pipelined large body behind a connection's last request is freed, a log line is bounded.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -134,8 +135,9 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         RequestAggregator whole = new RequestAggregator(UpstreamClient.MAX_BODY, MAX_LARGE);
-                        channel.pipeline().addLast(new RequestDecoder(), new HttpResponseEncoder(), whole,
-                                new Connection(channel, whole));
+                        RequestDecoder decoder = new RequestDecoder();
+                        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), whole,
+                                new Connection(channel, decoder, whole));
                     }
                 });
         if (shared) {
@@ -269,6 +271,7 @@
         /** The request at work; the exchange is known once the node has it. */
         private FullHttpRequest current;
         private Exchange exchange;
+        private final RequestDecoder decoder;
         private final RequestAggregator whole;
         /** Since when it has stood without a request; for a request that has begun to come, when that was. */
         private double since = node.now();
@@ -283,8 +286,9 @@
         private boolean ended;
         private boolean closing;
 
-        Connection(Channel channel, RequestAggregator whole) {
+        Connection(Channel channel, RequestDecoder decoder, RequestAggregator whole) {
             this.channel = channel;
+            this.decoder = decoder;
             this.whole = whole;
         }
 
@@ -298,7 +302,7 @@
 
         /** Whether a request has come in part. */
         boolean partial() {
-            return whole.isPartial();
+            return whole.isPartial() || decoder.isInHead();
         }
 
         /** Whether its first request may be just behind it, such as the front's question. */
@@ -363,6 +367,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             if (ended) {
+                if (request instanceof LargeRequest large) {
+                    large.upload.discard();
+                }
                 return;
             }
             // An answer to another method may have no body, and is no place to go on from. Answers that pile
@@ -429,6 +436,7 @@
             movedAt = node.now();
             // What the kernel holds for a slow caller would hide for seconds whether it takes anything.
             channel.config().setOption(ChannelOption.SO_SNDBUF, SEND_BUFFER);
+            channel.config().setWriteBufferWaterMark(Upload.WATER_MARK);
             channel.write(response);
         }
 
@@ -489,6 +497,7 @@
                 ((LargeRequest) request).upload.discard();
             }
             drained = null;
+            channel.config().setWriteBufferWaterMark(WriteBufferWaterMark.DEFAULT);
             request.release();
             current = null;
             exchange = null;
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -19,10 +19,10 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.channels.FileLock;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -55,6 +55,7 @@
     /** How often to look what another process of this balancer does. */
     private static final long LOOK_AROUND_MS = 250;
     private static final long LARGE_CHECK_MS = 1_000;
+    private static final double TELL_EVERY_MS = 10_000;
     /** How many upstreams are remembered as listed at some time. */
     private static final int MOST_KNOWN = 10_000;
     /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
@@ -84,6 +85,8 @@
     private final Path folder;
     /** Whether another process of this balancer lived at the last look. */
     private boolean hadOther;
+    /** When it was last told that this could not be seen. */
+    private volatile double unknownToldAt = Double.NEGATIVE_INFINITY;
     /** The upstreams that were ever listed, those of late. */
     private final Map<Long, Boolean> everListed = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
@@ -95,6 +98,8 @@
     };
     /** Closes what becomes idle while operators drain this balancer; null while they don't. */
     private Future<?> handDrain;
+    /** Whether SIGTERM has come. */
+    private boolean ending;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private long lastId;
@@ -168,7 +173,11 @@
         try {
             call.in(succession);
         } catch (IOException e) {
-            LOG.warning("nothing is known of another process of this balancer: " + e);
+            double now = clock.now();
+            if (now >= unknownToldAt + TELL_EVERY_MS) {
+                LOG.warning("nothing is known of another process of this balancer: " + e);
+                unknownToldAt = now;
+            }
         }
     }
 
@@ -226,7 +235,9 @@
 
     @Override
     public boolean ban(String id, boolean banned) throws IOException {
-        if (!everListed.containsKey(Roster.number(id)) && !orders.out().contains(id)) {
+        long upstream = Roster.number(id);
+        if (!everListed.containsKey(upstream) && !upstreams.isListed(upstream)
+                && !orders.out().contains(id)) {
             return false;
         }
         order(given -> given.with(id, banned));
@@ -255,9 +266,10 @@
         orders = given;
         given.out().stream().filter(id -> !before.out().contains(id)).forEach(id -> use(id, false));
         before.out().stream().filter(id -> !given.out().contains(id)).forEach(id -> use(id, true));
-        if (given.draining()) {
+        // What SIGTERM has begun, no order undoes.
+        if (given.draining() && !ending) {
             beginHandDrain();
-        } else {
+        } else if (!ending) {
             stopHandDrain();
         }
     }
@@ -316,14 +328,10 @@
         // Operators who have sent callers away already gave them the time to find another balancer.
         boolean already = loop.submit(this::endHandDrain).sync().getNow();
         double sendAway = already ? begun : Math.max(begun, latest - DRAIN_SLACK_MS - SEND_AWAY_MS);
-        boolean succeeded = false;
+        boolean succeeded = handOver();
         while (clock.now() < sendAway) {
-            if (!succeeded && hasSuccessor()) {
-                LOG.info("leaves callers to the process that follows");
-                loop.submit(frontend::handOver).sync();
-                succeeded = true;
-            }
             Thread.sleep(DRAIN_CHECK_MS);
+            succeeded = succeeded || handOver();
         }
         loop.submit(() -> frontend.beginDrain(HttpResponseStatus.OK)).sync();
         // Those that come late come to the successor, where there is one.
@@ -339,17 +347,22 @@
                 .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT))).sync();
     }
 
-    /** Whether another process serves where this one is to end. */
-    private boolean hasSuccessor() {
+    /** Leaves callers to another process, if one serves where this one is to end. */
+    private boolean handOver() throws InterruptedException {
         boolean[] has = new boolean[1];
         if (succession != null) {
             inSuccession(processes -> has[0] = processes.hasSuccessor());
         }
+        if (has[0]) {
+            LOG.info("leaves callers to the process that follows");
+            loop.submit(frontend::handOver).sync();
+        }
         return has[0];
     }
 
     /** Leaves a drain by hand to the one of SIGTERM; whether there was one. */
     private boolean endHandDrain() {
+        ending = true;
         boolean drains = handDrain != null;
         if (drains) {
             handDrain.cancel(false);
--- a/src/main/java/cranedeal/node/Orders.java
+++ b/src/main/java/cranedeal/node/Orders.java
@@ -70,14 +70,14 @@
         }
     }
 
-    /** Replaces what is kept in a folder in one step. */
+    /** Replaces what is kept in a folder in one step; one process at a time. */
     void write(Path folder) throws IOException {
         List<String> lines = new ArrayList<>();
         out.forEach(id -> lines.add(OUT + encode(id)));
         if (draining) {
             lines.add(DRAIN);
         }
-        Path fresh = Files.createTempFile(folder, FILE, null);
+        Path fresh = folder.resolve(FILE + ".new");
         Files.write(fresh, lines);
         Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE,
                 StandardCopyOption.REPLACE_EXISTING);
--- a/src/main/java/cranedeal/node/RequestAggregator.java
+++ b/src/main/java/cranedeal/node/RequestAggregator.java
@@ -149,7 +149,7 @@
 
     /** How much of the present request's body has come. */
     long received() {
-        return received;
+        return partial ? received : 0;
     }
 
     private static long length(HttpRequest head) {
--- a/src/main/java/cranedeal/node/Upload.java
+++ b/src/main/java/cranedeal/node/Upload.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.WriteBufferWaterMark;
 
 /**
  * A request's body that is too large to be held. Its start is, until more of it has gone on: up to then
@@ -9,6 +10,9 @@
  */
 final class Upload {
 
+    /** How much of a large transfer may wait for its socket; there can be hundreds at a time. */
+    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 << 10, 32 << 10);
+
     /** Where a body goes. */
     interface Sink {
 
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -249,6 +250,11 @@
         targets.values().removeIf(t -> !t.listed && t.toldOff < clock.now() - 2 * grace && t.idle.isEmpty());
     }
 
+    boolean isListed(long upstream) {
+        Target target = targets.get(upstream);
+        return target != null && target.listed;
+    }
+
     /** How many upstreams the list has. */
     int listed() {
         return (int) targets.values().stream().filter(target -> target.listed).count();
@@ -381,6 +387,7 @@
             address(head.headers(), now);
             HttpUtil.setTransferEncodingChunked(head, upload.length < 0);
             move();
+            channel.config().setWriteBufferWaterMark(Upload.WATER_MARK);
             channel.write(head);
             upload.feed(this);
         }
@@ -579,6 +586,7 @@
             decoder.await(false);
             home = target;
             channel.config().setAutoRead(true);
+            channel.config().setWriteBufferWaterMark(WriteBufferWaterMark.DEFAULT);
             if (!Double.isNaN(target.toldOff)) {
                 channel.close();
                 return;
--- a/src/test/java/cranedeal/node/DoorTest.java
+++ b/src/test/java/cranedeal/node/DoorTest.java
@@ -166,4 +166,62 @@
             assertEquals("back", stage.upstreams.get(0).accept().read().header("X-Txn"));
         }
     }
+
+    @Test
+    void aDrainCutsOffNoRequestThatIsOnItsWayIn() throws Exception {
+        try (Stage stage = stage()) {
+            stage.script.onRequest = request -> stage.script.actions.refuse(request.id(), 0);
+            String request = Stage.get("1", "10");
+            List<Peer> callers = new ArrayList<>();
+            // Cut within the first line, behind it, and within the head.
+            for (int cut : new int[] {3, request.indexOf("\r\n") + 2, request.length() - 5}) {
+                Peer caller = stage.caller();
+                caller.write(HEALTH);
+                assertEquals(200, caller.read().status());
+                caller.write(request.substring(0, cut));
+                callers.add(caller);
+            }
+            Peer idle = stage.caller();
+            idle.write(HEALTH);
+            assertEquals(200, idle.read().status());
+            assertEquals(200, stage.order("PUT", "/ops/drain/start"));
+            assertTrue(idle.ended());
+            int at = 0;
+            for (int cut : new int[] {3, request.indexOf("\r\n") + 2, request.length() - 5}) {
+                Peer caller = callers.get(at++);
+                caller.write(request.substring(cut));
+                Peer.Message answer = caller.read();
+                assertEquals(503, answer.status());
+                assertEquals("close", answer.header("Connection"));
+            }
+        }
+    }
+
+    @Test
+    void noOrderUndoesTheDrainOfSigterm() throws Exception {
+        try (Stage stage = stage()) {
+            assertEquals(200, stage.order("PUT", "/ops/drain/start"));
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "30"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            Thread drain = new Thread(() -> {
+                try {
+                    stage.node.drain();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            drain.start();
+            // Only a drain by hand says no to the front.
+            while (health(stage) != 200) {
+                Thread.onSpinWait();
+            }
+            assertEquals(200, stage.order("PUT", "/ops/drain/stop"));
+            assertEquals(503, stage.order("GET", "/ops/readiness"));
+            upstream.write(Stage.ok("taken"));
+            assertEquals("close", caller.read().header("Connection"));
+            drain.join();
+        }
+    }
 }
