Owe an upstream that operators put back a call within 5 s, if that is no crowd

A cold server begins with a random part of a call and earns the rest with 0.01 of a call a request, and half of the upstreams are outside the subset.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -84,6 +84,10 @@
     private static final double TOO_LATE = 0.25;
     /** Share of the allowed multiple of a cold server's capacity that its send budget uses. */
     private static final double COLD_MARGIN = 0.3;
+    /** Ms after operators have put a server back until which it is to have its first call. */
+    private static final double OWED_WITHIN = 5_000;
+    /** Share of l that counts for a server that is owed a call: most of a few draws should find it. */
+    private static final double OWED = 0.1;
     /** Ms after which a request that finds no server to go to looks again; well below any aim. */
     private static final double LOOK_AGAIN = 20;
     /** Least and, with as much again at random, most wait before the registry is asked again, of askEvery. */
@@ -119,6 +123,8 @@
     private List<Server> ready = List.of();
     /** What operators have taken out of use, and when. */
     private final Map<Long, Double> bannedAt = new HashMap<>();
+    /** What they have put back of late and what has had no call since, and when. */
+    private final Map<Long, Double> putBackAt = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
     /** Rule 5: the requests of each key that are not settled; looked up by key only, dropped when empty. */
     private final Map<Long, ArrayDeque<Call>> lines = new HashMap<>();
@@ -455,7 +461,7 @@
         if (server.listed.zone() != settings.zone()) {
             l *= 1 + CROSSING * Math.sqrt(settings.prices().crossZone());
         }
-        if (!server.preferred) {
+        if (!server.preferred && !isOwed(server, now)) {
             l *= 1 + OUTSIDE / Math.pow(1 + evidence, 2)
                     + CONNECTION * (settings.prices().connection() + settings.prices().handshake());
         }
@@ -465,7 +471,7 @@
                 l *= 1 + RELIEF * (CALM / 2 + c.pressure);
             }
         }
-        return l / warmth(server, now);
+        return isOwed(server, now) ? OWED * l : l / warmth(server, now);
     }
 
     /** Rules 6 and 2: placement; an attempt that may have run ties a request to its group, or ends it. */
@@ -513,11 +519,22 @@
         double warm = open.stream().mapToDouble(server -> warmth(server, now)).sum();
         double part = Math.min(1, COLD_MARGIN * settings.rules().fallMultiple());
         part /= Math.max(warm, open.size() / 2.0);
+        double rate = evidence / EVIDENCE_FADE;
         for (Server server : open) {
             server.coldBudget = Math.min(1, server.coldBudget + part * warmth(server, now));
+            // One call must be within this instance's part of what the rule allows until it is due.
+            if (isOwed(server, now) && rate * settings.rules().fallMultiple() * warmth(server, now)
+                    * OWED_WITHIN >= 1) {
+                server.coldBudget = 1;
+            }
         }
     }
 
+    private static boolean isOwed(Server server, double now) {
+        // NaN compares false.
+        return now >= server.owedFrom && now < server.owedFrom + OWED_WITHIN;
+    }
+
     // ---- The send ----------------------------------------------------------------------------------
 
     private void send(Call call, Server server, double now) {
@@ -531,6 +548,8 @@
             timeout = GIVE_UP * slowAfter;
         }
         call.attempts.add(attempt);
+        server.owedFrom = Double.NaN;
+        putBackAt.remove(server.listed.id());
         call.worst = Double.MAX_VALUE;
         call.running++;
         if (!call.arriving) {
@@ -813,12 +832,21 @@
 
     private void started(Upstream upstream, double at, double now) {
         Server.Kind kind = kinds[Math.min(upstream.kind(), kinds.length - 1)];
-        servers.put(upstream.id(), new Server(upstream, at, kind, classes.length, now, random.nextDouble()));
+        Server server = new Server(upstream, at, kind, classes.length, now, random.nextDouble());
+        servers.put(upstream.id(), server);
+        if (now < putBackAt.getOrDefault(upstream.id(), Double.NEGATIVE_INFINITY) + OWED_WITHIN) {
+            owe(server, now);
+        }
         if (at != 0) {
             coldUntil = Math.max(coldUntil, at + settings.rules().warmUp());
         }
     }
 
+    /** Its siblings may be told at the same time, so each begins at a time of its own. */
+    private void owe(Server server, double now) {
+        server.owedFrom = now + random.nextDouble() * OWED_WITHIN / 2;
+    }
+
     /**
      * Rule 3: only ready servers are ever drawn; what drains or is gone leaves at once, and so does what
      * operators take out of use.
@@ -840,8 +868,14 @@
         } else {
             Double since = bannedAt.remove(upstream);
             Server server = servers.get(upstream);
+            if (since != null) {
+                putBackAt.put(upstream, now);
+                putBackAt.values().removeIf(at -> now >= at + OWED_WITHIN);
+            }
             if (since != null && server != null && server.startedAt < since) {
                 started(server.listed, now, now);
+            } else if (since != null && server != null) {
+                owe(server, now);
             }
         }
         chooseReady();
--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -36,6 +36,8 @@
     double coldBudget;
     /** Until when it is taken to have a full table of connections. */
     double crowdedUntil = Double.NEGATIVE_INFINITY;
+    /** From when it is owed a call, as operators have put it back; NaN if it is not. */
+    double owedFrom = Double.NaN;
     /** Scratch for one draw. */
     double weight;
     /** Since when there is evidence of it. */
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -1028,4 +1028,37 @@
         }
         assertEquals(refused, bench.refused.size());
     }
+
+    @Test
+    void whatIsPutBackHasACallSoonUnlessThatWouldBeTooMuch() {
+        for (double every : new double[] {50, 1_000}) {
+            int soon = 0;
+            for (int seed = 0; seed < 20; seed++) {
+                Bench bench = new Bench(Sites.plain().siblings(20).position(seed).build(), seed);
+                Sites.Server[] servers = new Sites.Server[20];
+                Arrays.setAll(servers, i -> Sites.server(i));
+                bench.list(Change.CACHED, servers);
+                int id = 0;
+                for (int i = 0; i < 20_000 / every; i++, id++) {
+                    bench.request(id, 0);
+                    bench.advance(10);
+                    bench.finish(bench.lastSend(), Result.OK);
+                    bench.advance(every - 10);
+                }
+                bench.ban(3, true);
+                bench.advance(1_000);
+                bench.ban(3, false);
+                int before = bench.sends.size();
+                for (int i = 0; i < 5_000 / every; i++, id++) {
+                    bench.request(id, 0);
+                    bench.advance(10);
+                    bench.finish(bench.lastSend(), Result.OK);
+                    bench.advance(every - 10);
+                }
+                soon += bench.sends.stream().skip(before).anyMatch(sent -> sent.upstream() == 3) ? 1 : 0;
+            }
+            // With 20 requests a second each sibling sends one; with 1 all together would be too many.
+            assertTrue(every < 100 ? soon == 20 : soon < 8, soon + " of 20 at one every " + every + " ms");
+        }
+    }
 }
