Close the listener whatever accepting brings, and give slow readers the end of large answers

Found in review: 'accept' that fails for want of a descriptor left the socket open; the 5 s for an answer that nobody reads also cut off the last 160 KiB of a slow reader's. A log line that the shutdown swallows is taken out.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -203,12 +203,12 @@
     /** Closing the socket resets who waits in its queue: nothing is done between the last look and that. */
     private void closeListener() {
         List<java.nio.channels.SocketChannel> last = new ArrayList<>();
-        try {
-            for (var caller = socket.accept(); caller != null; caller = socket.accept()) {
+        try (ServerSocketChannel closed = socket) {
+            for (var caller = closed.accept(); caller != null; caller = closed.accept()) {
                 last.add(caller);
             }
-            socket.close();
         } catch (IOException e) {
+            // Out of descriptors, most likely: who is left in the queue has to come again.
             Node.LOG.log(Level.WARNING, "the listening socket was closed in disorder", e);
         }
         last.forEach(caller -> listening.pipeline().fireChannelRead(new NioSocketChannel(listening, caller)));
@@ -496,6 +496,8 @@
             if (early) {
                 ((LargeRequest) request).upload.discard();
             }
+            // Whoever reads a large answer slowly is still to have its end.
+            long unread = drained == null ? UNREAD_MS : (long) UpstreamClient.STALL_MS;
             drained = null;
             channel.config().setWriteBufferWaterMark(WriteBufferWaterMark.DEFAULT);
             request.release();
@@ -508,7 +510,7 @@
             connections.add(this);
             if (closing && ahead.isEmpty()) {
                 channel.writeAndFlush(last).addListener(written -> linger(early));
-                loop.schedule(() -> channel.close(), UNREAD_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(() -> channel.close(), unread, TimeUnit.MILLISECONDS);
                 return;
             }
             channel.writeAndFlush(last);
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -354,7 +354,6 @@
             inSuccession(processes -> has[0] = processes.hasSuccessor());
         }
         if (has[0]) {
-            LOG.info("leaves callers to the process that follows");
             loop.submit(frontend::handOver).sync();
         }
         return has[0];
