Let new settings reach both processes of an upgrade, whichever has the signal

The count of reloads is kept with the orders; the other process reads its file again, and a new one does if any signal came. UpgradeTest has it.

--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -200,7 +200,7 @@
             boolean other = processes.hasOther();
             sockets.share(other);
             if (other || hadOther) {
-                obey(Orders.read(folder));
+                obey(Orders.read(folder), 0);
             }
             hadOther = other;
         });
@@ -225,12 +225,12 @@
     /** Sends callers away as SIGTERM does, but goes on: {@link #stopDrain} undoes it. */
     @Override
     public void startDrain() throws IOException {
-        order(given -> given.withDrain(true));
+        order(given -> given.withDrain(true), 0);
     }
 
     @Override
     public void stopDrain() throws IOException {
-        order(given -> given.withDrain(false));
+        order(given -> given.withDrain(false), 0);
     }
 
     @Override
@@ -240,14 +240,14 @@
                 && !orders.out().contains(id)) {
             return false;
         }
-        order(given -> given.with(id, banned));
+        order(given -> given.with(id, banned), 0);
         return true;
     }
 
     /** Changes what operators want; if that can't be kept, nothing changes. */
-    private void order(UnaryOperator<Orders> change) throws IOException {
+    private void order(UnaryOperator<Orders> change, int own) throws IOException {
         if (succession == null) {
-            obey(change.apply(orders));
+            obey(change.apply(orders), 0);
             return;
         }
         Orders changed;
@@ -258,13 +258,17 @@
         } finally {
             lock.close();
         }
-        obey(changed);
+        obey(changed, own);
     }
 
-    private void obey(Orders given) {
+    /** Does what operators want; {@code own} of the reloads were this process's. */
+    private void obey(Orders given, int own) {
         Orders before = orders;
         orders = given;
         given.out().stream().filter(id -> !before.out().contains(id)).forEach(id -> use(id, false));
+        if (given.reloads() - own > before.reloads()) {
+            follow();
+        }
         before.out().stream().filter(id -> !given.out().contains(id)).forEach(id -> use(id, true));
         // What SIGTERM has begun, no order undoes.
         if (given.draining() && !ending) {
@@ -373,16 +377,36 @@
      * Reads the configuration again, which may have been replaced, and goes by it from now on, or not at all.
      * Signals come on threads of their own; what was read later must be taken later.
      */
-    synchronized void reload(String path) throws InterruptedException {
+    void reload(String path) throws InterruptedException {
+        figures.reloaded(read(path));
+        if (succession != null) {
+            loop.submit(() -> inSuccession(processes -> order(Orders::withReload, 1))).sync();
+        }
+    }
+
+    private synchronized boolean read(String path) throws InterruptedException {
         try {
             NodeConfig replaced = NodeConfig.read(path, config);
             loop.submit(() -> retune(replaced)).sync();
+            return true;
         } catch (ConfigException e) {
-            figures.reloaded(false);
             LOG.warning("the old configuration holds: " + e.getMessage());
+            return false;
         }
     }
 
+    /** The other process of this balancer has heard a signal, and this one may not. */
+    private void follow() {
+        // Not on the node's loop, which is to serve meanwhile.
+        door.loop().execute(() -> {
+            try {
+                read(config.path());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     private void retune(NodeConfig replaced) {
         config = replaced;
         figures.show(replaced.classes());
@@ -390,7 +414,6 @@
         frontend.retune(replaced);
         tell(null, () -> balancer.retuned(clock.now(), replaced.settings()));
         discovery.retune(replaced);
-        figures.reloaded(true);
         LOG.info("goes by a new configuration; discovery is at " + replaced.discovery());
     }
 
--- a/src/main/java/cranedeal/node/NodeConfig.java
+++ b/src/main/java/cranedeal/node/NodeConfig.java
@@ -20,15 +20,16 @@
 /**
  * What the platform tells a balancer in the file that {@code PROXY_CONFIG} names.
  *
+ * @param path where it was read
  * @param admin where operators call; null if they don't
  * @param sockets how many file descriptors the process may hold
  * @param zones the names of the zones, by the index that the module uses; likewise the others
  * @param keys the keys that the file has, in the settings' classes only those that all with one effect have
  * @param known the upstreams as this balancer last had them
  */
-record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
-        long seed, int sockets, Settings settings, List<String> zones, List<String> kinds,
-        List<String> classes, List<String> tenants, Set<String> keys, Roster known) {
+record NodeConfig(String path, String name, InetSocketAddress listen, InetSocketAddress admin,
+        InetSocketAddress discovery, long seed, int sockets, Settings settings, List<String> zones,
+        List<String> kinds, List<String> classes, List<String> tenants, Set<String> keys, Roster known) {
 
     static final JsonMapper JSON = JsonMapper.builder()
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
@@ -60,7 +61,7 @@
             throw new ConfigException("PROXY_CONFIG names no file");
         }
         try {
-            return parse(JSON.readTree(Path.of(path).toFile()));
+            return parse(path, JSON.readTree(Path.of(path).toFile()));
         } catch (IOException e) {
             String why = e.getMessage().lines().findFirst().orElse("");
             throw new ConfigException("cannot read " + path + ": " + why);
@@ -69,7 +70,7 @@
         }
     }
 
-    private static NodeConfig parse(JsonNode root) {
+    private static NodeConfig parse(String path, JsonNode root) {
         JsonNode given = root.path("settings");
         if (!given.isObject()) {
             throw new IllegalArgumentException("settings is missing");
@@ -87,8 +88,8 @@
         Settings settings = SettingsParser.parse(lines.toString().getBytes(StandardCharsets.UTF_8));
         List<String> zones = names(given.path("zones"));
         List<String> kinds = names(given.path("machineTypes"));
-        return new NodeConfig(root.path("name").asText("balancer"), address(root, "listen"), admin(root),
-                address(root, "discovery"), seed(root.path("seed").asText("")),
+        return new NodeConfig(path, root.path("name").asText("balancer"), address(root, "listen"),
+                admin(root), address(root, "discovery"), seed(root.path("seed").asText("")),
                 root.path("limits").path("sockets").asInt(1_024), settings, zones, kinds,
                 classes, names(given.path("tenants")), keys(root),
                 Roster.parse(root.path("known"), zones, kinds));
--- a/src/main/java/cranedeal/node/Orders.java
+++ b/src/main/java/cranedeal/node/Orders.java
@@ -19,13 +19,15 @@
  * sent away.
  *
  * @param out the ids of the upstreams, as discovery has them
+ * @param reloads how often a process was told to read its configuration again
  */
-record Orders(Set<String> out, boolean draining) {
+record Orders(Set<String> out, boolean draining, long reloads) {
 
-    static final Orders NONE = new Orders(Set.of(), false);
+    static final Orders NONE = new Orders(Set.of(), false, 0);
     private static final String FILE = "orders";
     private static final String OUT = "out ";
     private static final String DRAIN = "drain";
+    private static final String RELOADS = "reloads ";
     /** Far more than operators will ever have out; a file that is larger is none of ours. */
     private static final long LONGEST = 1 << 20;
 
@@ -41,11 +43,15 @@
         } else {
             changed.remove(id);
         }
-        return new Orders(changed, draining);
+        return new Orders(changed, draining, reloads);
     }
 
     Orders withDrain(boolean drains) {
-        return new Orders(out, drains);
+        return new Orders(out, drains, reloads);
+    }
+
+    Orders withReload() {
+        return new Orders(out, draining, reloads + 1);
     }
 
     /** Reads what was kept in a folder: nothing if there is no such file, and no line that makes no sense. */
@@ -57,14 +63,16 @@
             }
             Set<String> out = new TreeSet<>();
             boolean draining = false;
+            long reloads = 0;
             // Any bytes make text this way; what is damaged is skipped.
             for (String line : Files.readString(file, StandardCharsets.ISO_8859_1).split("\n")) {
                 if (line.startsWith(OUT) && line.length() > OUT.length()) {
                     out.add(decode(line.substring(OUT.length())));
                 }
                 draining |= line.equals(DRAIN);
+                reloads = Math.max(reloads, line.startsWith(RELOADS) ? count(line) : 0);
             }
-            return new Orders(out, draining);
+            return new Orders(out, draining, reloads);
         } catch (NoSuchFileException e) {
             return NONE;
         }
@@ -77,12 +85,21 @@
         if (draining) {
             lines.add(DRAIN);
         }
+        lines.add(RELOADS + reloads);
         Path fresh = folder.resolve(FILE + ".new");
         Files.write(fresh, lines);
         Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE,
                 StandardCopyOption.REPLACE_EXISTING);
     }
 
+    private static long count(String line) {
+        try {
+            return Long.parseLong(line.substring(RELOADS.length()));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     /** An id may hold any character, also one that would end its line. */
     private static String encode(String id) {
         return URLEncoder.encode(id, StandardCharsets.UTF_8);
--- a/src/test/java/cranedeal/node/OrdersTest.java
+++ b/src/test/java/cranedeal/node/OrdersTest.java
@@ -17,12 +17,12 @@
     @Test
     void whatIsWrittenIsReadAgain() throws Exception {
         assertEquals(Orders.NONE, Orders.read(folder));
-        Orders orders = Orders.NONE.with("s-1", true).with("a b\nc\u0905", true).withDrain(true);
+        Orders orders = Orders.NONE.with("s-1", true).with("a b\nc\u0905", true).withDrain(true).withReload();
         orders.write(folder);
         assertEquals(orders, Orders.read(folder));
         Orders fewer = orders.with("s-1", false).withDrain(false);
         fewer.write(folder);
-        assertEquals(new Orders(Set.of("a b\nc\u0905"), false), Orders.read(folder));
+        assertEquals(new Orders(Set.of("a b\nc\u0905"), false, 1), Orders.read(folder));
         try (var files = Files.list(folder)) {
             assertEquals(1, files.count());
         }
@@ -31,8 +31,8 @@
     @Test
     void aDamagedFileGivesWhatCanBeReadOfIt() throws Exception {
         Files.write(folder.resolve("orders"), new byte[] {'o', 'u', 't', ' ', 's', '\n', -1, 0, '\n',
-            'o', 'u', 't', ' ', '%', 'z', '\n', 'd', 'r'});
-        assertEquals(new Orders(Set.of("s", "%z"), false), Orders.read(folder));
+            'o', 'u', 't', ' ', '%', 'z', '\n', 'd', 'r', '\n', 'r', 'e', 'l', 'o', 'a', 'd', 's', ' ', 'x'});
+        assertEquals(new Orders(Set.of("s", "%z"), false, 0), Orders.read(folder));
         Files.write(folder.resolve("orders"), new byte[2 << 20]);
         assertEquals(Orders.NONE, Orders.read(folder));
     }
--- a/src/test/java/cranedeal/node/UpgradeTest.java
+++ b/src/test/java/cranedeal/node/UpgradeTest.java
@@ -149,13 +149,17 @@
         assertTrue(processes.get(0).waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
     }
 
-    private static boolean hasOut(InetSocketAddress door) throws IOException {
+    private static String stats(InetSocketAddress door) throws IOException {
         try (Peer operator = Peer.to(door)) {
             operator.write("GET /ops/stats HTTP/1.1\r\nHost: ops\r\n\r\n");
-            return operator.read().body().contains("edge_proxy.targets_disabled=1\n");
+            return operator.read().body();
         }
     }
 
+    private static boolean hasOut(InetSocketAddress door) throws IOException {
+        return stats(door).contains("edge_proxy.targets_disabled=1\n");
+    }
+
     @Test
     void ordersHoldForBothProcessesWhicheverIsTold() throws Exception {
         InetSocketAddress first = start();
@@ -175,4 +179,22 @@
             Thread.sleep(1);
         }
     }
+
+    @Test
+    void newSettingsReachBothProcessesWhicheverHasTheSignal() throws Exception {
+        start();
+        InetSocketAddress second = start();
+        // Each has a file of its own here.
+        try (var files = Files.list(folder)) {
+            for (Path file : files.filter(path -> path.toString().endsWith(".json")).toList()) {
+                Files.writeString(file, Files.readString(file).replace("tile-order", "tile-view"));
+            }
+        }
+        new ProcessBuilder("sh", "-c", "kill -HUP " + processes.get(0).pid()).start().waitFor();
+        while (!stats(second).contains("edge_proxy.success.tile-view=0\n")) {
+            Thread.sleep(1);
+        }
+        // Only the signal counts.
+        assertTrue(stats(second).contains("edge_proxy.reload_success=0\n"));
+    }
 }
