Let the decisions take in what an earlier process had learnt, as it has faded since

A balancer that is started again knows nothing: each bad upstream is met anew, and all are given an even share. The module now gives out what it has learnt of classes and upstreams, not what is under way, and takes it in before the first list. Evidence goes on fading over the time between as if the process had been there, so its age alone decides what it counts; the room that a server has follows from how long it was known. An upstream that has started since is cold and unknown.

--- a/src/main/java/cranedeal/ClassRecord.java
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -50,6 +50,17 @@
         slowRatio = before.slowRatio;
     }
 
+    LoadBalancer.Learnt.OfClass learnt() {
+        return new LoadBalancer.Learnt.OfClass(type.name(), latency.value(), hint.value(), slowRatio);
+    }
+
+    /** Begins with what an earlier process had learnt; {@code kept} tells how much of that still counts. */
+    void recall(LoadBalancer.Learnt.OfClass old, double kept) {
+        latency.recall(old.latency(), kept);
+        hint.recall(old.hint(), kept);
+        slowRatio += kept * (old.slowRatio() - slowRatio);
+    }
+
     boolean sharesPlacement(ClassRecord other) {
         return Objects.equals(type.zones(), other.type.zones())
                 && Objects.equals(type.kinds(), other.type.kinds());
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -25,6 +25,8 @@
     private static final double EVIDENCE_FADE = 8_000;
     /** Ms between refreshes of a server's faded evidence; far below the fade, it only saves CPU. */
     private static final double FADE_STEP = 200;
+    /** Calls of late of which there must be evidence for a later process to be told of a server. */
+    private static final double LEAST_LEARNT = 0.1;
     /** Samples that the mean of a server's machine type weighs in its base, as most bases rest on few. */
     private static final double BASE_POOL = 2;
     /** Calls that its machine type's record weighs in s: a type in trouble shows in all its servers. */
@@ -125,6 +127,10 @@
     private final Map<Long, Double> bannedAt = new HashMap<>();
     /** What they have put back of late and what has had no call since, and when. */
     private final Map<Long, Double> putBackAt = new HashMap<>();
+    /** What an earlier process knew of servers not listed so far, when, and its place of each class. */
+    private final Map<Long, Learnt.OfUpstream> recalled = new HashMap<>();
+    private double recalledAt;
+    private int[] recalledPlaces;
     private final Map<Long, Call> calls = new HashMap<>();
     /** Rule 5: the requests of each key that are not settled; looked up by key only, dropped when empty. */
     private final Map<Long, ArrayDeque<Call>> lines = new HashMap<>();
@@ -182,6 +188,7 @@
         calls.values().forEach(call -> call.record = successors.getOrDefault(call.record, call.record));
         before.values().forEach(old -> old.index = -1);
         servers.values().forEach(server -> server.retune(places));
+        recalled.clear();
         classes = next;
         chooseLeaders();
         int known = kinds.length;
@@ -802,6 +809,32 @@
         return expected(call) * call.record.slowRatio;
     }
 
+    @Override
+    public Learnt learnt(double now) {
+        servers.values().forEach(server -> server.fade(now, EVIDENCE_FADE, FADE_STEP));
+        return new Learnt(Arrays.stream(classes).map(ClassRecord::learnt).toList(),
+                servers.values().stream().filter(server -> server.tries >= LEAST_LEARNT)
+                        .map(server -> server.learnt(now)).toList());
+    }
+
+    /** Evidence goes on fading over the time between, as if this process had been there all along. */
+    @Override
+    public void recall(double now, Learnt learnt, double age) {
+        recalledAt = now - age;
+        recalledPlaces = new int[classes.length];
+        Arrays.fill(recalledPlaces, -1);
+        for (int i = 0; i < learnt.classes().size(); i++) {
+            Learnt.OfClass old = learnt.classes().get(i);
+            for (ClassRecord c : classes) {
+                if (c.type.name().equals(old.name())) {
+                    recalledPlaces[c.index] = i;
+                    c.recall(old, Math.exp(-age / EVIDENCE_FADE));
+                }
+            }
+        }
+        learnt.upstreams().forEach(old -> recalled.put(old.id(), old));
+    }
+
     // ---- The list of servers -----------------------------------------------------------------------
 
     @Override
@@ -830,10 +863,18 @@
         chooseReady();
     }
 
-    private void started(Upstream upstream, double at, double now) {
+    private void started(Upstream upstream, double listed, double now) {
         Server.Kind kind = kinds[Math.min(upstream.kind(), kinds.length - 1)];
+        Learnt.OfUpstream old = recalled.remove(upstream.id());
+        boolean same = old != null && old.listedStart() == listed;
+        double at = same ? old.startedAt() : listed;
         Server server = new Server(upstream, at, kind, classes.length, now, random.nextDouble());
         servers.put(upstream.id(), server);
+        if (same) {
+            server.recall(old, recalledAt, recalledPlaces);
+            server.fade(now, EVIDENCE_FADE, 0);
+            server.tellKind();
+        }
         if (now < putBackAt.getOrDefault(upstream.id(), Double.NEGATIVE_INFINITY) + OWED_WITHIN) {
             owe(server, now);
         }
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -38,6 +38,17 @@
         return 0;
     }
 
+    /** What is known by now that is of use to a later process of this instance; not what is under way. */
+    default Learnt learnt(double now) {
+        return Learnt.NOTHING;
+    }
+
+    /**
+     * What an earlier process of this instance had learnt {@code age} ms ago: an opinion to begin with,
+     * which counts the less the older it is. Called at most once, between {@link #start} and the first list.
+     */
+    default void recall(double now, Learnt learnt, double age) { }
+
     /** A request has arrived; the instance now owes it exactly one final answer. */
     void request(double now, Request request);
 
@@ -162,6 +173,44 @@
     record Outcome(long requestId, int attempt, long upstream, Result result, boolean closed, double elapsed,
             double[] report) { }
 
+    /**
+     * What an instance has learnt of classes and upstreams.
+     *
+     * @param classes in the order of {@link OfUpstream#served} and {@link OfUpstream#tries}
+     * @param upstreams those of which something was seen of late
+     */
+    record Learnt(List<OfClass> classes, List<OfUpstream> upstreams) {
+
+        /** Nothing at all. */
+        public static final Learnt NOTHING = new Learnt(List.of(), List.of());
+
+        /**
+         * What was learnt of a class over all upstreams.
+         *
+         * @param latency served latency in ms for a request of mean cost on a mean upstream
+         * @param hint mean hinted work in ms; 0 if there were no hints
+         * @param slowRatio how many times the expected latency only the slowest calls take
+         */
+        public record OfClass(String name, double latency, double hint, double slowRatio) { }
+
+        /**
+         * What was learnt of one process of an upstream, in sums that fade.
+         *
+         * @param listedStart when it started as listed; a process that started later is another one
+         * @param startedAt when it is taken to have started: as listed, or later
+         * @param knownFor ms since when there is evidence of it
+         * @param latencies sum of its served latencies, relative to what was expected
+         * @param latencyCount how many these were
+         * @param servedInAll calls served there, of all classes
+         * @param triesInAll calls that have ended there, of all classes
+         * @param served calls served there, by class
+         * @param tries calls that have ended there, by class
+         */
+        public record OfUpstream(long id, double listedStart, double startedAt, double knownFor,
+                double latencies, double latencyCount, double servedInAll, double triesInAll,
+                double[] served, double[] tries) { }
+    }
+
     /** Whether a request of a class may run more than once. */
     enum Repeat { IDEMPOTENT, DEDUPLICATED, AT_MOST_ONCE }
 
--- a/src/main/java/cranedeal/Mean.java
+++ b/src/main/java/cranedeal/Mean.java
@@ -20,4 +20,10 @@
         value += gain * (sample - value);
         gain = Math.max(leastGain, gain / (1 + gain));
     }
+
+    /** Begins with an earlier value; the smaller the share of it that is {@code kept}, the sooner it goes. */
+    void recall(double earlier, double kept) {
+        value = earlier;
+        gain = 1 / (2 + kept / leastGain);
+    }
 }
--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -41,7 +41,7 @@
     /** Scratch for one draw. */
     double weight;
     /** Since when there is evidence of it. */
-    final double knownSince;
+    double knownSince;
     private double fadedAt;
 
     Server(LoadBalancer.Upstream listed, double startedAt, Kind kind, int classes, double now,
@@ -56,6 +56,36 @@
         knownSince = now;
     }
 
+    /** What a later process is to know of it. */
+    LoadBalancer.Learnt.OfUpstream learnt(double now) {
+        return new LoadBalancer.Learnt.OfUpstream(listed.id(), listed.startedAt(), startedAt,
+                now - knownSince, latencySum, latencyCount, served, tries, servedOf.clone(),
+                triesOf.clone());
+    }
+
+    /** Takes in what was known at a time; for each class its place there, negative for one that is new. */
+    void recall(LoadBalancer.Learnt.OfUpstream old, double at, int[] places) {
+        latencySum = old.latencies();
+        latencyCount = old.latencyCount();
+        served = old.servedInAll();
+        tries = old.triesInAll();
+        servedOf = old.served();
+        triesOf = old.tries();
+        retune(places);
+        fadedAt = at;
+        knownSince = at - old.knownFor();
+    }
+
+    /** Shows its machine type what was recalled of it, where that still weighs as much as a call. */
+    void tellKind() {
+        if (latencyCount >= 1) {
+            kind.latency.add(latencySum / latencyCount);
+        }
+        if (tries >= 1) {
+            kind.served.add(served / tries);
+        }
+    }
+
     /** Takes new settings in: for each class its place before, negative for one that is new. */
     void retune(int[] before) {
         double[] oldServed = servedOf;
--- a/src/test/java/cranedeal/Bench.java
+++ b/src/test/java/cranedeal/Bench.java
@@ -47,6 +47,11 @@
         balancer.start(now, settings, seed);
     }
 
+    /** What it has learnt becomes the opinion of another instance, some time later. */
+    void learnFrom(Bench earlier, double age) {
+        balancer.recall(now, earlier.balancer.learnt(earlier.now), age);
+    }
+
     void list(Change change, Sites.Server... servers) {
         balancer.upstreamsChanged(now, change, Arrays.stream(servers).map(Sites.Server::listed).toList());
     }
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -1061,4 +1061,88 @@
             assertTrue(every < 100 ? soon == 20 : soon < 8, soon + " of 20 at one every " + every + " ms");
         }
     }
+
+    /** An instance for which the first of three servers has failed for long, and a list for its successor. */
+    private static Bench experienced() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 3);
+        bench.list(Change.CACHED, Sites.server(1).startedAt(7), Sites.server(2), Sites.server(3));
+        play(bench, 600, Result.ERROR);
+        return bench;
+    }
+
+    /** Requests of the first class one after the other, and how many calls went to the first server. */
+    private static int play(Bench bench, int requests, Result ofFirst) {
+        return play(bench, requests, ofFirst, 0);
+    }
+
+    private static int play(Bench bench, int requests, Result ofFirst, int serviceClass) {
+        int before = bench.sends.size();
+        for (int i = 0; i < requests; i++) {
+            bench.request(before + i, serviceClass);
+            while (bench.isOpen(before + i)) {
+                bench.advance(20);
+                Bench.Sent sent = bench.lastSend();
+                bench.finish(sent, sent.upstream() == 1 ? ofFirst : Result.OK);
+            }
+        }
+        return (int) bench.sends.stream().skip(before).filter(sent -> sent.upstream() == 1).count();
+    }
+
+    private static Bench successor(long seed, Bench earlier, double age, double startedAt) {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), seed);
+        if (earlier != null) {
+            bench.learnFrom(earlier, age);
+        }
+        bench.list(Change.CACHED, Sites.server(1).startedAt(startedAt), Sites.server(2), Sites.server(3));
+        return bench;
+    }
+
+    @Test
+    void whatWasLearntOfAServerIsKnownAtStartFadesAndIsNotHeldAgainstALaterProcessOfIt() {
+        Bench earlier = experienced();
+        int cold = 0;
+        int warm = 0;
+        int old = 0;
+        int restarted = 0;
+        int wellAgain = 0;
+        for (int seed = 0; seed < 40; seed++) {
+            cold += play(successor(seed, null, 0, 7), 20, Result.ERROR);
+            warm += play(successor(seed, earlier, 1_000, 7), 20, Result.ERROR);
+            old += play(successor(seed, earlier, 3_600_000, 7), 20, Result.ERROR);
+            restarted += play(successor(seed, earlier, 1_000, 8), 20, Result.ERROR);
+            // One that has recovered is found to have, as it would have been without the restart.
+            wellAgain += play(successor(seed, earlier, 1_000, 7), 2_000, Result.OK);
+        }
+        assertTrue(warm * 5 <= cold, warm + " warm, " + cold + " cold");
+        assertTrue(old > cold / 2 && restarted > cold / 2, old + " and " + restarted + " of " + cold);
+        assertTrue(wellAgain > 40 * 300, "back to use after " + wellAgain);
+    }
+
+    @Test
+    void aSuccessorKnowsWhichClassAServerFails() {
+        Bench earlier = experienced();
+        play(earlier, 600, Result.OK, 1);
+        play(earlier, 600, Result.ERROR, 0);
+        play(earlier, 600, Result.OK, 1);
+        int failed = 0;
+        int served = 0;
+        for (int seed = 0; seed < 40; seed++) {
+            failed += play(successor(seed, earlier, 100, 7), 4, Result.ERROR, 0);
+            served += play(successor(seed, earlier, 100, 7), 4, Result.OK, 1);
+        }
+        assertTrue(failed * 4 < served, failed + " of the class that it fails, " + served + " of the other");
+    }
+
+    @Test
+    void aSuccessorGivesAServerNoMoreRoomThanItHadBefore() {
+        Bench earlier = experienced();
+        Bench bench = successor(1, earlier, 100, 7);
+        for (int i = 0; i < 60; i++) {
+            bench.request(i, 0);
+        }
+        Map<Long, Integer> sent = new HashMap<>();
+        bench.sends.forEach(one -> sent.merge(one.upstream(), 1, Integer::sum));
+        // Each of the two that are well has served some 25 a second; 0.35 of the aim of 1 s has room for 9.
+        assertTrue(sent.values().stream().allMatch(count -> count <= 10), "sent " + sent);
+    }
 }
