Write down what a balancer learns once a second, and begin with it at the next start

The module's knowledge has to reach the next process: over a kill by state_dir, over an upgrade by that or by the $TMPDIR that both processes share. A file that is damaged, of another form or from the future is told of in one line and not used.

Real processes: known after an upgrade and after a kill, not taken from a damaged file. Every byte flipped and every length but the whole is refused.

--- /dev/null
+++ b/src/main/java/cranedeal/node/LearntFile.java
@@ -0,0 +1,174 @@
+package cranedeal.node;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import cranedeal.LoadBalancer.Learnt;
+import cranedeal.LoadBalancer.Learnt.OfClass;
+import cranedeal.LoadBalancer.Learnt.OfUpstream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/**
+ * What the module has learnt, in a file of one process for the next. The first line is a checksum of the
+ * rest, which is JSON. It is replaced in one step and never forced: what a power loss takes has faded before
+ * the machine is back.
+ */
+final class LearntFile {
+
+    /** How many upstreams it tells of: those that most is known of. */
+    static final int MOST_UPSTREAMS = 2_000;
+    private static final int MOST_CLASSES = 1_000;
+    private static final String FILE = "learnt";
+    private static final int FORM = 1;
+    private static final int LONGEST = 1 << 24;
+    private static final int SUM = 9;
+
+    private final Path folder;
+
+    LearntFile(Path folder) {
+        this.folder = folder;
+    }
+
+    /** What was learnt, and when, in ms since 1970. */
+    record Kept(double at, Learnt learnt) { }
+
+    /** What was written last; null if nothing was. Throws {@link IOException} for what can't be trusted. */
+    Kept read() throws IOException {
+        Path file = folder.resolve(FILE);
+        byte[] bytes;
+        try {
+            if (Files.size(file) > LONGEST) {
+                throw new IOException(file + " is longer than " + LONGEST + " bytes");
+            }
+            bytes = Files.readAllBytes(file);
+        } catch (NoSuchFileException e) {
+            return null;
+        }
+        if (bytes.length < SUM || !sum(bytes).equals(new String(bytes, 0, SUM, StandardCharsets.US_ASCII))) {
+            throw new IOException(file + " is damaged");
+        }
+        JsonNode root = NodeConfig.JSON.readTree(bytes, SUM, bytes.length - SUM);
+        if (root.path("form").asInt() != FORM) {
+            throw new IOException(file + " has form " + root.path("form") + ", which is not known here");
+        }
+        try {
+            List<OfClass> classes = new ArrayList<>();
+            for (JsonNode one : root.path("classes")) {
+                classes.add(new OfClass(one.path("name").asText(), number(one, "latency"),
+                        number(one, "hint"), number(one, "slow")));
+            }
+            List<OfUpstream> upstreams = new ArrayList<>();
+            for (JsonNode one : root.path("upstreams")) {
+                upstreams.add(new OfUpstream(one.path("id").longValue(), number(one, "listed"),
+                        number(one, "started"), number(one, "known"), number(one, "latencies"),
+                        number(one, "answers"), number(one, "served_all"), number(one, "tries_all"),
+                        numbers(one, "served", classes.size()), numbers(one, "tries", classes.size())));
+            }
+            return new Kept(number(root, "at"), new Learnt(classes, upstreams));
+        } catch (IllegalArgumentException e) {
+            throw new IOException(file + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** Replaces what was written. */
+    void write(Kept kept) throws IOException {
+        Files.createDirectories(folder);
+        Path fresh = folder.resolve(FILE + ".next");
+        Files.write(fresh, encode(kept));
+        Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private static byte[] encode(Kept kept) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        bytes.write(new byte[SUM]);
+        // A name that is no longer in use has its place all the same, as counts go by places.
+        List<OfClass> classes = kept.learnt().classes();
+        boolean few = classes.size() <= MOST_CLASSES;
+        try (JsonGenerator json = NodeConfig.JSON.createGenerator(bytes)) {
+            json.writeStartObject();
+            json.writeNumberField("form", FORM);
+            json.writeNumberField("at", kept.at());
+            json.writeArrayFieldStart("classes");
+            for (OfClass one : few ? classes : List.<OfClass>of()) {
+                json.writeStartObject();
+                json.writeStringField("name", one.name());
+                json.writeNumberField("latency", one.latency());
+                json.writeNumberField("hint", one.hint());
+                json.writeNumberField("slow", one.slowRatio());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeArrayFieldStart("upstreams");
+            for (OfUpstream one : few ? best(kept.learnt().upstreams()) : List.<OfUpstream>of()) {
+                write(one, json);
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        }
+        byte[] whole = bytes.toByteArray();
+        System.arraycopy(sum(whole).getBytes(StandardCharsets.US_ASCII), 0, whole, 0, SUM);
+        return whole;
+    }
+
+    private static void write(OfUpstream one, JsonGenerator json) throws IOException {
+        json.writeStartObject();
+        json.writeNumberField("id", one.id());
+        json.writeNumberField("listed", one.listedStart());
+        json.writeNumberField("started", one.startedAt());
+        json.writeNumberField("known", one.knownFor());
+        json.writeNumberField("latencies", one.latencies());
+        json.writeNumberField("answers", one.latencyCount());
+        json.writeNumberField("served_all", one.servedInAll());
+        json.writeNumberField("tries_all", one.triesInAll());
+        json.writeFieldName("served");
+        json.writeArray(one.served(), 0, one.served().length);
+        json.writeFieldName("tries");
+        json.writeArray(one.tries(), 0, one.tries().length);
+        json.writeEndObject();
+    }
+
+    private static List<OfUpstream> best(List<OfUpstream> all) {
+        return all.size() <= MOST_UPSTREAMS ? all : all.stream()
+                .sorted(Comparator.comparingDouble(OfUpstream::triesInAll).reversed())
+                .limit(MOST_UPSTREAMS).toList();
+    }
+
+    private static String sum(byte[] bytes) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes, SUM, bytes.length - SUM);
+        return String.format("%08x\n", sum.getValue());
+    }
+
+    private static double number(JsonNode of, String key) {
+        return checked(of.path(key), key);
+    }
+
+    private static double[] numbers(JsonNode of, String key, int count) {
+        JsonNode list = of.path(key);
+        if (list.size() != count) {
+            throw new IllegalArgumentException(key + " has not one number for each class");
+        }
+        double[] numbers = new double[count];
+        Arrays.setAll(numbers, i -> checked(list.get(i), key));
+        return numbers;
+    }
+
+    private static double checked(JsonNode number, String key) {
+        double value = number.doubleValue();
+        if (!number.isNumber() || !(value >= 0 && value < Double.POSITIVE_INFINITY)) {
+            throw new IllegalArgumentException(key + " is no number from 0 on");
+        }
+        return value;
+    }
+}
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.DefaultEventExecutor;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -33,6 +34,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -83,6 +85,8 @@
     private volatile boolean draining;
     /** Where what operators want is kept on disk; null if the configuration names no folder for it. */
     private final OrderBook book;
+    /** Keeps what the module learns for the next process; null if there is no folder for it. */
+    private final LearntKeeper keeper;
     /** Its place among the members of a fleet; null if it is of none. */
     private volatile Presence presence;
     /** What operators want. */
@@ -123,6 +127,8 @@
         this.succession = succession;
         this.folder = folder;
         this.book = book;
+        Path warm = config.stateDir() != null ? config.stateDir() : succession == null ? null : folder;
+        keeper = warm == null ? null : new LearntKeeper(new LearntFile(warm), clock);
         PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
                 CACHED, false);
         sockets = new Sockets(config.sockets() - (config.admin() == null ? 0 : Door.DESCRIPTORS)
@@ -156,7 +162,8 @@
             node.door.bind(config.admin());
         }
         Orders kept = book == null ? Orders.NONE : node.kept();
-        loop.submit(() -> node.begin(kept)).sync();
+        LearntFile.Kept learnt = node.keeper == null ? null : node.keeper.read();
+        loop.submit(() -> node.begin(kept, learnt)).sync();
         node.frontend.bind(succession != null);
         node.serving = true;
         if (succession != null) {
@@ -211,10 +218,13 @@
         }
     }
 
-    private void begin(Orders kept) {
+    private void begin(Orders kept, LearntFile.Kept learnt) {
         Roster known = new Roster(config.known().version(), true, config.known().members());
         upstreams.update(known);
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
+        if (learnt != null) {
+            tell(null, () -> keeper.recall(learnt, balancer));
+        }
         tell(null, () -> listChanged(Change.CACHED, entries(known)));
         known.members().forEach(member -> everListed.put(member.upstream().id(), true));
         obey(kept, kept.reloads());
@@ -223,6 +233,29 @@
             lookAround();
             loop.scheduleAtFixedRate(this::lookAround, LOOK_AROUND_MS, LOOK_AROUND_MS, TimeUnit.MILLISECONDS);
         }
+        if (keeper != null) {
+            Executor writer = door != null ? door.loop()
+                    : new DefaultEventExecutor(new DefaultThreadFactory("keeper", true));
+            keeper.keep(loop, writer, this::learnt, () -> !hasSuccessor());
+        }
+    }
+
+    private LoadBalancer.Learnt learnt() {
+        try {
+            return balancer.learnt(clock.now());
+        } catch (RuntimeException e) {
+            broken(null, e);
+            return LoadBalancer.Learnt.NOTHING;
+        }
+    }
+
+    /** Whether a later process of this balancer serves. */
+    private boolean hasSuccessor() {
+        boolean[] has = new boolean[1];
+        if (succession != null) {
+            inSuccession(processes -> has[0] = processes.hasSuccessor());
+        }
+        return has[0];
     }
 
     /** Looks whether another process of this balancer lives, and what operators have ordered there. */
@@ -428,14 +461,11 @@
 
     /** Leaves callers to another process, if one serves where this one is to end. */
     private boolean handOver() throws InterruptedException {
-        boolean[] has = new boolean[1];
-        if (succession != null) {
-            inSuccession(processes -> has[0] = processes.hasSuccessor());
-        }
-        if (has[0]) {
+        boolean succeeded = hasSuccessor();
+        if (succeeded) {
             loop.submit(frontend::handOver).sync();
         }
-        return has[0];
+        return succeeded;
     }
 
     /** Leaves a drain by hand to the one of SIGTERM; whether there was one. */
--- /dev/null
+++ b/src/test/java/cranedeal/node/LearntFileTest.java
@@ -0,0 +1,91 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import cranedeal.LoadBalancer.Learnt;
+import cranedeal.LoadBalancer.Learnt.OfClass;
+import cranedeal.LoadBalancer.Learnt.OfUpstream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.zip.CRC32C;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What was learnt is read as it was written, or not at all. */
+class LearntFileTest {
+
+    @TempDir
+    private Path folder;
+
+    private static OfUpstream upstream(int id) {
+        return new OfUpstream(id - 5L, 17, 18.5, 900, 3.25, 4, id, id + 1, new double[] {1, 2},
+                new double[] {id, 0.1});
+    }
+
+    private static LearntFile.Kept kept(int upstreams) {
+        return new LearntFile.Kept(1e12 + 0.5, new Learnt(List.of(new OfClass("look \"up\"", 7, 0, 2.5),
+                new OfClass("book", 1e-9, 3, 10)), IntStream.range(0, upstreams)
+                        .mapToObj(LearntFileTest::upstream).toList()));
+    }
+
+    @Test
+    void noFlippedByteAndNoLengthButTheWholeIsTrusted() throws IOException {
+        LearntFile file = new LearntFile(folder.resolve("made"));
+        assertNull(file.read());
+        file.write(kept(1));
+        file.write(kept(2));
+        LearntFile.Kept read = file.read();
+        assertEquals(kept(2).at(), read.at());
+        assertEquals(kept(2).learnt().classes(), read.learnt().classes());
+        assertEquals(-4, read.learnt().upstreams().get(1).id());
+        assertEquals(18.5, read.learnt().upstreams().get(1).startedAt());
+        assertArrayEquals(new double[] {1, 0.1}, read.learnt().upstreams().get(1).tries());
+        Path path = folder.resolve("made/learnt");
+        byte[] whole = Files.readAllBytes(path);
+        for (int at = 0; at < whole.length; at++) {
+            byte[] flipped = whole.clone();
+            flipped[at] ^= (byte) (1 << at % 8);
+            Files.write(path, flipped);
+            assertThrows(IOException.class, file::read, "byte " + at);
+            Files.write(path, Arrays.copyOf(whole, at));
+            assertThrows(IOException.class, file::read, "length " + at);
+        }
+    }
+
+    @Test
+    void aLaterFormAndNumbersThatAreNoneAreRefused() throws IOException {
+        LearntFile file = new LearntFile(folder);
+        file.write(kept(1));
+        String json = Files.readString(folder.resolve("learnt")).substring(9);
+        for (String wrong : List.of(json.replace("\"form\":1", "\"form\":2"),
+                json.replace("\"known\":900.0", "\"known\":-1"),
+                json.replace("\"answers\":4.0", "\"answers\":1e999"),
+                json.replace("\"tries\":[0.0,0.1]", "\"tries\":[0.0]"))) {
+            CRC32C sum = new CRC32C();
+            sum.update(wrong.getBytes(StandardCharsets.UTF_8));
+            Files.writeString(folder.resolve("learnt"), String.format("%08x\n", sum.getValue()) + wrong);
+            assertThrows(IOException.class, file::read, wrong);
+        }
+        assertNull(new LearntKeeper(file, new Clock()).read(), "it is only told of");
+        file.write(new LearntFile.Kept(new Clock().now() + 1e7, kept(1).learnt()));
+        assertNull(new LearntKeeper(file, new Clock()).read(), "the clock went back");
+    }
+
+    @Test
+    void ofManyUpstreamsThoseAreKeptThatMostIsKnownOf() throws IOException {
+        LearntFile file = new LearntFile(folder);
+        file.write(kept(100_000));
+        List<OfUpstream> read = file.read().learnt().upstreams();
+        assertEquals(LearntFile.MOST_UPSTREAMS, read.size());
+        assertEquals(100_000 - LearntFile.MOST_UPSTREAMS,
+                read.stream().mapToDouble(OfUpstream::servedInAll).min().orElseThrow());
+    }
+}
--- a/src/test/java/cranedeal/node/UpgradeTest.java
+++ b/src/test/java/cranedeal/node/UpgradeTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -113,6 +114,43 @@
         assertFalse(Files.exists(folder.resolve("orders")), "not kept where it does not last");
     }
 
+    /** Whether the process that was started last says that it knows what an earlier one had learnt. */
+    private boolean lastRecalls() throws IOException {
+        BufferedReader log = processes.get(processes.size() - 1).errorReader();
+        String line = log.readLine();
+        while (line != null && !line.contains("learnt")) {
+            line = log.readLine();
+        }
+        return line != null && line.contains("recalls what was learnt") && line.contains(" of 1 upstreams");
+    }
+
+    @Test
+    void whatWasLearntOutlastsAnUpgradeAndAKillAndIsNotGuessedFromAFileThatIsDamaged() throws Exception {
+        stage.stateDir = folder.resolve("state");
+        start();
+        Path learnt = stage.stateDir.resolve("learnt");
+        Peer client = caller();
+        for (int i = 0; !Files.exists(learnt); i++) {
+            client.write(Stage.get("r" + i, "20"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+            assertEquals(200, client.read().status());
+        }
+        start();
+        assertTrue(lastRecalls());
+        processes.get(0).destroyForcibly().waitFor();
+        killLast();
+        start();
+        assertTrue(lastRecalls());
+        killLast();
+        byte[] bytes = Files.readAllBytes(learnt);
+        bytes[bytes.length / 2] ^= 1;
+        Files.write(learnt, bytes);
+        start();
+        assertFalse(lastRecalls());
+    }
+
     private Peer caller() throws IOException {
         Peer caller = Peer.to(address);
         caller.write(HEALTH);
