Throw repeats of keyed requests away in the lab's cells, and give balancers a folder that lasts

Upstreams of the lab did the work of a repeated keyed request again, where real ones answer it when the first is done; so retries cost more than they do in service. A cell now remembers the keys it has seen for as long as the balancers are told.

--- a/src/main/java/cranedeal/lab/BalancerConfig.java
+++ b/src/main/java/cranedeal/lab/BalancerConfig.java
@@ -96,12 +96,17 @@
         return settings;
     }
 
+    /** How long upstreams throw repeats of a keyed request away. */
+    static double memoryMs(ServiceClass of) {
+        return 2 * of.deadlineMs();
+    }
+
     private static ObjectNode service(ServiceClass one) {
         ObjectNode service = JSON.createObjectNode().put("name", one.name()).put("aim", one.aimMs())
                 .put("deadline", one.deadlineMs()).put("worth", one.worth()).put("lateValue", 0.0)
                 .put("idempotency", one.effect().word()).put("streamed", false);
         if (one.effect() == cranedeal.lab.history.Effect.DEDUPLICATED) {
-            service.put("group", "cell").put("memorySpan", 2 * one.deadlineMs());
+            service.put("group", "cell").put("memorySpan", memoryMs(one));
         }
         return service;
     }
--- a/src/main/java/cranedeal/lab/Experiment.java
+++ b/src/main/java/cranedeal/lab/Experiment.java
@@ -17,6 +17,7 @@
  * @param balancers how many there are, {@code n0} and so on
  * @param door whether balancers have an operators' door, as an upgrade needs
  * @param members whether balancers are members of a fleet
+ * @param state whether balancers have a folder that outlasts them
  * @param sockets how many descriptors a balancer may hold
  * @param memoryMb how much memory a balancer is told it may use
  * @param listLateMs how late discovery tells of a change
@@ -24,17 +25,18 @@
  * @param frontEveryMs how often the front asks balancers for their health
  * @param settings what of the balancers' settings is to be otherwise than usual
  */
-record Experiment(String name, long seed, int balancers, boolean door, boolean members, int sockets,
-        int memoryMb, List<UpstreamKind> kinds, List<String> zones, double listLateMs, double callMs,
-        long frontEveryMs, Load load, ObjectNode settings, List<Fault> faults, Analysis.Bounds must) {
+record Experiment(String name, long seed, int balancers, boolean door, boolean members, boolean state,
+        int sockets, int memoryMb, List<UpstreamKind> kinds, List<String> zones, double listLateMs,
+        double callMs, long frontEveryMs, Load load, ObjectNode settings, List<Fault> faults,
+        Analysis.Bounds must) {
 
     static final String CLIENTS = "clients";
     static final String DISCOVERY = "discovery";
 
     /** With other faults; for campaigns. */
     Experiment with(List<Fault> others) {
-        return new Experiment(name, seed, balancers, door, members, sockets, memoryMb, kinds, zones,
-                listLateMs, callMs, frontEveryMs, load, settings, others, must);
+        return new Experiment(name, seed, balancers, door, members, state, sockets, memoryMb, kinds,
+                zones, listLateMs, callMs, frontEveryMs, load, settings, others, must);
     }
 
     /** The names of the balancers. */
@@ -80,6 +82,11 @@
         return cells;
     }
 
+    /** How long a cell remembers the keys that it has seen. */
+    double longestMemoryMs() {
+        return load.classes().stream().mapToDouble(BalancerConfig::memoryMs).max().orElse(0);
+    }
+
     /** The zone of a balancer or an upstream, dealt out in turn. */
     String zone(String name) {
         return zones.get(Integer.parseInt(name.substring(1)) % zones.size());
--- a/src/main/java/cranedeal/lab/ExperimentReader.java
+++ b/src/main/java/cranedeal/lab/ExperimentReader.java
@@ -41,7 +41,7 @@
         List<UpstreamKind> kinds = kinds(top);
         Load load = load(top);
         Experiment bare = new Experiment(top.text("name"), top.whole("seed", 0, Integer.MAX_VALUE, 1),
-                balancers, fleet.flag("door"), fleet.flag("members"),
+                balancers, fleet.flag("door"), fleet.flag("members"), fleet.flag("state"),
                 fleet.whole("sockets", 64, 1 << 20, 1_024),
                 fleet.whole("memory_mb", 32, 1 << 16, 192), kinds, zones,
                 fleet.number("list_late_s", 0, LONGEST_S, 0.5) * MS,
--- a/src/main/java/cranedeal/lab/World.java
+++ b/src/main/java/cranedeal/lab/World.java
@@ -14,6 +14,7 @@
 import cranedeal.lab.standin.DiscoveryServer;
 import cranedeal.lab.standin.Front;
 import cranedeal.lab.standin.LabClock;
+import cranedeal.lab.standin.SeenKeys;
 import cranedeal.lab.standin.UpstreamKind;
 import cranedeal.lab.standin.UpstreamServer;
 import io.netty.channel.EventLoop;
@@ -150,10 +151,12 @@
         discovery.bind(addresses.own(DISCOVERY_PARTY));
         List<UpstreamKind> kinds = experiment.upstreamKinds();
         Map<String, Integer> cells = experiment.cells();
+        Map<Integer, SeenKeys> seen = new HashMap<>();
         for (String name : experiment.upstreamNames()) {
             UpstreamKind kind = kinds.get(upstreams.size());
             UpstreamServer upstream = new UpstreamServer(name, kind, standIns.next(), clock, random.split(),
-                    byAddress::get, history);
+                    byAddress::get, history, seen.computeIfAbsent(cells.get(name),
+                            cell -> new SeenKeys(experiment.longestMemoryMs())));
             upstream.bind(addresses.own(parties.get(name)));
             upstreams.put(name, upstream);
             await(discovery.list(name, parties.get(name), experiment.zone(name), kind.name(), cells.get(name),
@@ -218,6 +221,9 @@
             // Outlasts what a start empties, as the disk of a machine does.
             ((ObjectNode) config.get("fleet")).put("state_dir", own.resolve("members").toString());
         }
+        if (experiment.state()) {
+            config.put("state_dir", own.resolve("state").toString());
+        }
         return new BalancerProcess(name, party, addresses, config, experiment.door(), own, program, warden,
                 http, link(Experiment.CLIENTS, name), front, clock, history);
     }
--- a/src/main/java/cranedeal/lab/standin/UpstreamCore.java
+++ b/src/main/java/cranedeal/lab/standin/UpstreamCore.java
@@ -6,12 +6,14 @@
 
 /**
  * One upstream's process: cores that work one request each, a waiting room behind them, and a cold start over
- * which its capacity grows evenly. It has no clock; times are milliseconds.
+ * which its capacity grows evenly. The keys that its cell has seen outlast it. It has no clock; times are
+ * milliseconds.
  */
 final class UpstreamCore {
 
     private final UpstreamKind kind;
     private final RandomGenerator random;
+    private final SeenKeys seen;
     private final double startedAt;
     private final boolean cold;
     /** When each core is free. */
@@ -22,8 +24,9 @@
     private double failing;
     private boolean draining;
 
-    UpstreamCore(UpstreamKind kind, double now, boolean cold, RandomGenerator random) {
+    UpstreamCore(UpstreamKind kind, double now, boolean cold, RandomGenerator random, SeenKeys seen) {
         this.kind = kind;
+        this.seen = seen;
         this.random = random;
         this.cold = cold;
         startedAt = now;
@@ -59,8 +62,13 @@
         return draining;
     }
 
-    /** Takes a request in or turns it away; {@code work} occupies a core of speed 1 for so long. */
-    Admission arrive(double now, double work) {
+    /**
+     * Takes a request in or turns it away.
+     *
+     * @param work how long it occupies a core of speed 1, unless it is a repeat
+     * @param key what it has in common with its repeats; null if it may run again
+     */
+    Admission arrive(double now, double work, String key) {
         while (!begins.isEmpty() && begins.peek() <= now) {
             begins.poll();
         }
@@ -70,6 +78,10 @@
         if (failing > 0 && random.nextDouble() < failing) {
             return new Admission(true, true, now);
         }
+        double earlier = key == null ? Double.NaN : seen.doneAt(key, now);
+        if (!Double.isNaN(earlier)) {
+            return new Admission(true, false, Math.max(now, earlier));
+        }
         int core = 0;
         for (int i = 1; i < freeAt.length; i++) {
             if (freeAt[i] < freeAt[core]) {
@@ -82,6 +94,9 @@
             begins.add(begin);
         }
         boolean fails = kind.errorRate() > 0 && random.nextDouble() < kind.errorRate();
+        if (key != null && !fails) {
+            seen.add(key, now, freeAt[core]);
+        }
         return new Admission(true, fails, freeAt[core]);
     }
 
--- a/src/main/java/cranedeal/lab/standin/UpstreamServer.java
+++ b/src/main/java/cranedeal/lab/standin/UpstreamServer.java
@@ -49,14 +49,16 @@
     private final RandomGenerator random;
     private final Function<InetAddress, String> balancers;
     private final Consumer<Event> history;
+    private final SeenKeys seen;
     private final ByteBuf body;
     private UpstreamCore core;
     private int connections;
     private Channel listening;
 
-    /** An upstream that is warm already. */
+    /** An upstream that is warm already; {@code seen} is common to its cell. */
     public UpstreamServer(String name, UpstreamKind kind, EventLoop loop, LabClock clock,
-            RandomGenerator random, Function<InetAddress, String> balancers, Consumer<Event> history) {
+            RandomGenerator random, Function<InetAddress, String> balancers, Consumer<Event> history,
+            SeenKeys seen) {
         this.name = name;
         this.kind = kind;
         this.loop = loop;
@@ -64,9 +66,10 @@
         this.random = random;
         this.balancers = balancers;
         this.history = history;
+        this.seen = seen;
         body = Unpooled.unreleasableBuffer(Unpooled.copiedBuffer("served by " + name + "\n",
                 StandardCharsets.UTF_8));
-        core = new UpstreamCore(kind, clock.now(), false, random);
+        core = new UpstreamCore(kind, clock.now(), false, random, seen);
     }
 
     /** Listens; throws {@link IOException} where it can't. */
@@ -95,7 +98,7 @@
     /** Its process starts anew, and is cold. */
     public Future<?> restart() {
         return loop.submit(() -> {
-            core = new UpstreamCore(kind, clock.now(), true, random);
+            core = new UpstreamCore(kind, clock.now(), true, random, seen);
             history.accept(new Event.Began(clock.now(), name, kind.capacity(), kind.coldShare(),
                     kind.warmMs()));
         });
@@ -173,7 +176,7 @@
             double work = Double.parseDouble(uri.parameters().getOrDefault("w", List.of("1")).get(0));
             double now = clock.now();
             UpstreamCore.Admission admission = overLimit ? new UpstreamCore.Admission(false, false, now)
-                    : core.arrive(now, work);
+                    : core.arrive(now, work, request.headers().get("Idempotency-Key"));
             InetSocketAddress from = (InetSocketAddress) ctx.channel().remoteAddress();
             String balancer = balancers.apply(from.getAddress());
             history.accept(new Event.Arrived(now, id, balancer, name, uri.path().split("/")[1],
--- a/src/test/java/cranedeal/lab/standin/CoresTest.java
+++ b/src/test/java/cranedeal/lab/standin/CoresTest.java
@@ -19,36 +19,52 @@
 
     @Test
     void anUpstreamWorksOnEachCoreLetsSomeWaitAndTurnsTheRestAway() {
-        UpstreamCore core = new UpstreamCore(KIND, 0, false, new SplittableRandom(1));
+        UpstreamCore core = new UpstreamCore(KIND, 0, false, new SplittableRandom(1), new SeenKeys(5_000));
         double[] done = new double[5];
         for (int i = 0; i < done.length; i++) {
-            UpstreamCore.Admission admission = core.arrive(0, 10);
+            UpstreamCore.Admission admission = core.arrive(0, 10, null);
             assertTrue(admission.taken());
             done[i] = admission.doneAt();
         }
         // 10 ms of work at half speed, on two cores.
         assertEquals(List.of(20.0, 20.0, 40.0, 40.0, 60.0), Arrays.stream(done).boxed().toList());
-        assertFalse(core.arrive(0, 10).taken(), "three wait already");
-        assertTrue(core.arrive(20, 10).taken(), "two of them have begun");
+        assertFalse(core.arrive(0, 10, null).taken(), "three wait already");
+        assertTrue(core.arrive(20, 10, null).taken(), "two of them have begun");
         core.drain();
-        assertFalse(core.arrive(1_000, 10).taken());
+        assertFalse(core.arrive(1_000, 10, null).taken());
     }
 
     @Test
     void aColdOneIsSlowAtFirstAndAFaultyOneIsQuickToFail() {
-        UpstreamCore core = new UpstreamCore(KIND, 1_000, true, new SplittableRandom(1));
+        UpstreamCore core = new UpstreamCore(KIND, 1_000, true, new SplittableRandom(1), new SeenKeys(5_000));
         assertEquals(0.25, core.share(1_000));
         assertEquals(0.625, core.share(6_000));
         assertEquals(1, core.share(11_000));
-        assertEquals(1_080, core.arrive(1_000, 10).doneAt());
+        assertEquals(1_080, core.arrive(1_000, 10, null).doneAt());
         core.slow(3);
-        assertEquals(20_060, core.arrive(20_000, 10).doneAt());
+        assertEquals(20_060, core.arrive(20_000, 10, null).doneAt());
         core.fail(1);
-        UpstreamCore.Admission failed = core.arrive(30_000, 10);
+        UpstreamCore.Admission failed = core.arrive(30_000, 10, null);
         assertTrue(failed.taken() && failed.failing());
         assertEquals(30_000, failed.doneAt());
     }
 
+    @Test
+    void aCellThrowsARepeatAwayAndAnswersItWhenTheFirstIsDone() {
+        SeenKeys cell = new SeenKeys(5_000);
+        UpstreamCore core = new UpstreamCore(KIND, 0, false, new SplittableRandom(1), cell);
+        UpstreamCore neighbour = new UpstreamCore(KIND, 0, false, new SplittableRandom(1), cell);
+        assertEquals(20, core.arrive(0, 10, "k").doneAt());
+        assertEquals(20, neighbour.arrive(5, 10, "k").doneAt(), "no work of its own");
+        assertEquals(30, neighbour.arrive(30, 10, "k").doneAt());
+        assertEquals(50, neighbour.arrive(30, 10, "other").doneAt());
+        assertEquals(5_020, core.arrive(5_000, 10, "k").doneAt(), "forgotten by now");
+        core.fail(1);
+        assertTrue(core.arrive(6_000, 10, "fails").failing());
+        core.fail(0);
+        assertEquals(7_020, core.arrive(7_000, 10, "fails").doneAt(), "that was no work");
+    }
+
     @Test
     void theListTellsWhatHasChangedSinceAndForgetsInOrder() {
         Catalog catalog = new Catalog();
--- a/src/test/java/cranedeal/lab/standin/LoadBenchmark.java
+++ b/src/test/java/cranedeal/lab/standin/LoadBenchmark.java
@@ -40,7 +40,7 @@
             LabClock clock = new LabClock();
             UpstreamServer server = new UpstreamServer("u0",
                     new UpstreamKind("k", 1, 256, 1_000, 100_000, 1, 0, 0, 100_000), serverLoop.next(), clock,
-                    new SplittableRandom(1), address -> "n0", event -> { });
+                    new SplittableRandom(1), address -> "n0", event -> { }, new SeenKeys(4_000));
             server.bind(addresses.own(1));
             var front = new Front(clientLoop.next(), List.of(new Front.Backend("n0", addresses.own(1))),
                     1_000);
