--- a/src/test/java/cranedeal/fleet/store/StoreTest.java
+++ b/src/test/java/cranedeal/fleet/store/StoreTest.java
@@ -16,12 +16,16 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.zip.CRC32C;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The store on a disk in memory that loses power, is damaged, full or fails; and on a real folder. */
+/**
+ * The store on a disk in memory that loses power, is damaged, full or fails; and on a real folder. The
+ * property {@code store.minutes} has power lost for so long, with one seed after the other.
+ */
 class StoreTest {
 
     private static final Limits SMALL = new Limits(3_000, 1_000, 4_000);
@@ -126,7 +130,8 @@
     @Test
     void powerLossAtEachOperationLosesNothingThatWasAcknowledged() throws IOException {
         int points = 0;
-        for (int seed = 0; seed < 6; seed++) {
+        long until = System.nanoTime() + TimeUnit.MINUTES.toNanos(Integer.getInteger("store.minutes", 0));
+        for (int seed = 0; seed < 6 || System.nanoTime() < until; seed++) {
             CrashDisk whole = new CrashDisk(new SplittableRandom(seed), 0);
             new Work(new SplittableRandom(seed)).on(whole, 150);
             for (int crashAt = 1; crashAt <= whole.operations(); crashAt++) {
