End what is known of a server with a run of broken calls, and with its return

After a long good time a server that fails all went on to be drawn, as its many served calls faded over 8 s; and one that was well again was kept out as long, by its many failures. Two broken calls of a class in a row now halve the served ones at each further fault, and the first that is served after such a run leaves a tenth of the broken ones. Only errors, resets and failed connects count: full and late tell of a crowd. It is kept by class, as a server may fail one and serve the rest.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -23,6 +23,12 @@
 
     /** Ms in which evidence fades to 1/e: shorter than most troubles, so a sick server is retried. */
     private static final double EVIDENCE_FADE = 8_000;
+    /** Calls of a class broken one after the other that end what was known of a server that served them. */
+    private static final int OUTAGE = 2;
+    /** Share of the calls served that counts on at each further fault: an outage is felt in a few calls. */
+    private static final double SERVED_KEPT = 0.5;
+    /** Share of the calls broken that counts on once it serves again: it has recovered. */
+    private static final double BROKEN_KEPT = 0.1;
     /** Ms between refreshes of a server's faded evidence; far below the fade, it only saves CPU. */
     private static final double FADE_STEP = 200;
     /** Calls of late of which there must be evidence for a later process to be told of a server. */
@@ -752,6 +758,10 @@
             return;
         }
         server.fade(now, EVIDENCE_FADE, FADE_STEP);
+        if (result == Result.OK || result == Result.ERROR || result == Result.RESET
+                || result == Result.CONNECT_FAILED) {
+            server.turn(attempt.call.record.index, result == Result.OK, OUTAGE, SERVED_KEPT, BROKEN_KEPT);
+        }
         if (result != Result.OK || !attempt.streaming || attempt.call.type.streamed()) {
             server.count(attempt.call.record.index, result == Result.OK);
         }
--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -30,6 +30,8 @@
     double tries;
     double[] servedOf;
     double[] triesOf;
+    /** Calls of each class that it has broken since it last served one of them. */
+    private int[] faultsOf;
     /** Whether it belongs to the subset of the fleet that this instance prefers. */
     boolean preferred;
     /** Sends that it has earned while cold. */
@@ -49,6 +51,7 @@
         this.startedAt = startedAt;
         servedOf = new double[classes];
         triesOf = new double[classes];
+        faultsOf = new int[classes];
         this.listed = listed;
         this.kind = kind;
         this.coldBudget = coldBudget;
@@ -92,6 +95,7 @@
         double[] oldTries = triesOf;
         servedOf = new double[before.length];
         triesOf = new double[before.length];
+        faultsOf = new int[before.length];
         for (int i = 0; i < before.length; i++) {
             if (before[i] >= 0) {
                 servedOf[i] = oldServed[before[i]];
@@ -117,6 +121,28 @@
         fadedAt = now;
     }
 
+    /**
+     * A call was served or broken, which says nothing of a crowd. Once {@code run} of a class are broken one
+     * after the other, those served before are of another time, and once one is served again, those broken:
+     * of these the given shares are kept, at each fault and at the return.
+     */
+    void turn(int serviceClass, boolean wasServed, int run, double servedKept, double brokenKept) {
+        if (serviceClass < 0) {
+            return;
+        }
+        int faults = wasServed ? faultsOf[serviceClass] : Math.min(run, faultsOf[serviceClass] + 1);
+        faultsOf[serviceClass] = wasServed ? 0 : faults;
+        if (faults == run) {
+            double broken = triesOf[serviceClass] - servedOf[serviceClass];
+            double servedGone = wasServed ? 0 : (1 - servedKept) * servedOf[serviceClass];
+            double gone = wasServed ? (1 - brokenKept) * broken : servedGone;
+            servedOf[serviceClass] -= servedGone;
+            triesOf[serviceClass] -= gone;
+            served = Math.max(0, served - servedGone);
+            tries = Math.max(served, tries - gone);
+        }
+    }
+
     void count(int serviceClass, boolean wasServed) {
         kind.served.add(wasServed ? 1 : 0);
         tries += 1;
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -1062,6 +1062,22 @@
         }
     }
 
+    @Test
+    void anOutageIsFeltInAFewCallsAndEndsWithTheFirstThatAreServed() {
+        int hit = 0;
+        int back = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            Bench bench = new Bench(Sites.plain().tier(1).build(), seed);
+            bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3));
+            play(bench, 1_000, Result.OK);
+            hit += play(bench, 500, Result.ERROR);
+            play(bench, 300, Result.OK);
+            back += play(bench, 100, Result.OK);
+        }
+        assertTrue(hit < 20 * 10, hit + " calls met 20 outages");
+        assertTrue(back > 20 * 100 / 6, back + " of 2,000 calls, of which a third is an even share");
+    }
+
     /** An instance for which the first of three servers has failed for long, and a list for its successor. */
     private static Bench experienced() {
         Bench bench = new Bench(Sites.plain().tier(1).build(), 3);
