--- a/src/main/java/cranedeal/fleet/store/KeptValue.java
+++ b/src/main/java/cranedeal/fleet/store/KeptValue.java
@@ -13,8 +13,6 @@
 public final class KeptValue {
 
     private static final int WHOLE = 1;
-    /** After so many records they are replaced by a snapshot. */
-    private static final long MOST_RECORDS = 200;
     private static final int TRIES = 100;
     private static final long TRY_AGAIN_MS = 5;
 
@@ -57,7 +55,7 @@
             byte[] bytes = change.of(last.value);
             store.append(WHOLE, bytes);
             store.force();
-            if (store.figures().recovered() >= MOST_RECORDS) {
+            if (store.isSnapshotDue(bytes.length)) {
                 replaceBySnapshot(store, bytes);
             }
             return bytes;
--- a/src/main/java/cranedeal/fleet/store/Recovery.java
+++ b/src/main/java/cranedeal/fleet/store/Recovery.java
@@ -26,14 +26,15 @@
      *
      * @param last the highest sequence number of all
      * @param records how many records behind the snapshot were read
+     * @param bytes what these take up
      * @param segment the segment to write on; null if there is none
      * @param end where its whole records end, in bytes
      * @param torn how many bytes lie behind that
      * @param unfinished files that were never finished, and may be deleted
      * @param notes what somebody should know, a line each
      */
-    record Found(long last, long records, String segment, long end, long torn, List<String> unfinished,
-            List<String> notes) { }
+    record Found(long last, long records, long bytes, String segment, long end, long torn,
+            List<String> unfinished, List<String> notes) { }
 
     /** Reads all; throws {@link DamagedException} for acknowledged records that can't be read. */
     Found read(StoreReader reader) throws IOException {
@@ -80,6 +81,7 @@
         segments.removeAll(unneeded(segments, covered));
         long last = covered;
         long records = 0;
+        long bytes = 0;
         String current = null;
         long end = 0;
         long torn = 0;
@@ -111,6 +113,7 @@
                     reader.record(frame.record());
                     last = expected;
                     records++;
+                    bytes += frames.offset() - end;
                 }
                 expected++;
                 end = frames.offset();
@@ -123,7 +126,7 @@
                         + " bytes behind it were never acknowledged");
             }
         }
-        return new Found(last, records, current, end, torn, unfinished, notes);
+        return new Found(last, records, bytes, current, end, torn, unfinished, notes);
     }
 
     /** Throws unless what is not whole at a place can only be what was never acknowledged. */
--- a/src/main/java/cranedeal/fleet/store/Store.java
+++ b/src/main/java/cranedeal/fleet/store/Store.java
@@ -21,6 +21,13 @@
     /** How many snapshots are kept. */
     private static final int GENERATIONS = 2;
     private static final long HIGHEST_US = 600_000_000;
+    /**
+     * Share of the state's size from which on records are reason for a snapshot. Twice that is kept beside
+     * two snapshots, which leaves some for frames where three times the state is the most.
+     */
+    private static final double BEHIND = 0.4;
+    /** Records of fewer bytes are no reason for a snapshot. */
+    private static final long LEAST_BEHIND = 1 << 16;
 
     private final Disk disk;
     private final Limits limits;
@@ -36,6 +43,10 @@
     private long last;
     private long forced;
     private long bytes;
+    /** What the records behind the newest snapshot take up, in bytes. */
+    private long behind;
+    /** Whether the next write begins a segment, so that the one before can go as a whole. */
+    private boolean rollNext;
     private boolean writingSnapshot;
     private StoreException poison;
 
@@ -48,6 +59,8 @@
         this.found = found;
         recoveryNanos = nanos;
         last = found.last();
+        behind = found.bytes();
+        rollNext = behind == 0;
     }
 
     /**
@@ -167,9 +180,11 @@
     private void write() throws IOException {
         int size = batch.position();
         try {
-            if (segment == null || segmentSize >= limits.segmentBytes()) {
+            if (segment == null || segmentSize >= limits.segmentBytes()
+                    || rollNext && segmentSize > FileKind.HEAD) {
                 roll();
             }
+            rollNext = false;
             segment.write(batch.flip());
         } catch (IOException e) {
             last = forced;
@@ -181,6 +196,7 @@
         }
         batch.clear();
         segmentSize += size;
+        behind += size;
         bytes += size;
     }
 
@@ -230,6 +246,15 @@
         bytes += FileKind.HEAD;
     }
 
+    /**
+     * Whether a snapshot of a state of so many bytes is worth its write by now. Taken whenever it is, the
+     * two snapshots and the records that are kept come to less than three times the state, or to some 130 kB
+     * more than two of it where it is small.
+     */
+    public boolean isSnapshotDue(long stateBytes) {
+        return behind >= Math.max(LEAST_BEHIND, (long) (BEHIND * stateBytes));
+    }
+
     /**
      * Begins a snapshot of the state that all forced records have led to. Records may be appended while it is
      * written; one snapshot at a time.
@@ -251,6 +276,7 @@
         private final long covers;
         private final String name;
         private final Disk.Output out;
+        private final long behindBefore = behind;
         private long pieces;
         private boolean ended;
 
@@ -312,6 +338,8 @@
             }
             ended = true;
             writingSnapshot = false;
+            behind -= behindBefore;
+            rollNext = true;
             compact();
         }
 
--- a/src/test/java/cranedeal/fleet/store/StoreTest.java
+++ b/src/test/java/cranedeal/fleet/store/StoreTest.java
@@ -24,7 +24,8 @@
 
 /**
  * The store on a disk in memory that loses power, is damaged, full or fails; and on a real folder. The
- * property {@code store.minutes} has power lost for so long, with one seed after the other.
+ * property {@code store.minutes} has power lost for so long, with one seed after the other from {@code
+ * store.seed} on.
  */
 class StoreTest {
 
@@ -131,7 +132,8 @@
     void powerLossAtEachOperationLosesNothingThatWasAcknowledged() throws IOException {
         int points = 0;
         long until = System.nanoTime() + TimeUnit.MINUTES.toNanos(Integer.getInteger("store.minutes", 0));
-        for (int seed = 0; seed < 6 || System.nanoTime() < until; seed++) {
+        int first = Integer.getInteger("store.seed", 0);
+        for (int seed = first; seed < first + 6 || System.nanoTime() < until; seed++) {
             CrashDisk whole = new CrashDisk(new SplittableRandom(seed), 0);
             new Work(new SplittableRandom(seed)).on(whole, 150);
             for (int crashAt = 1; crashAt <= whole.operations(); crashAt++) {
@@ -345,6 +347,55 @@
         assertThrows(DamagedException.class, () -> Store.open(disk, SMALL, new State()));
     }
 
+    @Test
+    void aStateWhoseSnapshotsAreTakenWhenDueUsesThreeTimesItsSizeAtMost() throws IOException {
+        int pieces = 200;
+        int size = 1_000;
+        CrashDisk disk = new CrashDisk(new SplittableRandom(1), 0);
+        double most = 0;
+        int snapshots = 0;
+        // Opened anew now and then, as what is behind the snapshot must be known then too.
+        for (int life = 0; life < 60; life++) {
+            try (Store store = Store.open(disk, Limits.USUAL, new Last())) {
+                for (int i = 0; i < 50; i++) {
+                    store.append(1, new byte[size]);
+                    store.force();
+                    if (store.isSnapshotDue((long) pieces * size)) {
+                        snapshots++;
+                        try (Store.Snapshot snapshot = store.snapshot()) {
+                            for (int piece = 0; piece < pieces; piece++) {
+                                snapshot.write(new byte[size]);
+                            }
+                            snapshot.commit();
+                        }
+                    }
+                    long used = 0;
+                    for (String name : disk.names()) {
+                        used += disk.bytes(name).length;
+                    }
+                    most = Math.max(most, used / (double) (pieces * size));
+                }
+            }
+        }
+        String told = "disk used: " + most + " times the state, with " + snapshots + " snapshots";
+        System.out.println(told);
+        assertTrue(snapshots > 30 && snapshots < 45 && most < 3, told);
+    }
+
+    /** Whatever it is told. */
+    private static final class Last implements StoreReader {
+
+        @Override
+        public void snapshot(byte[] piece) {
+            assertEquals(1_000, piece.length);
+        }
+
+        @Override
+        public void record(Record record) {
+            assertEquals(1_000, record.payload().length);
+        }
+    }
+
     @Test
     void aLaterFormatAndASecondProcessAreTurnedAway() throws IOException {
         CrashDisk disk = acknowledgedBatches(SMALL);
