Let a server's room go by all that it serves, whatever became of its record

The run of broken calls took from the sums over all classes too, and by these a server's room is reckoned: where many fail at once, rooms shrank to three calls, and what found none was refused. Only the class's own counts are taken from now.

--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -133,13 +133,10 @@
         int faults = wasServed ? faultsOf[serviceClass] : Math.min(run, faultsOf[serviceClass] + 1);
         faultsOf[serviceClass] = wasServed ? 0 : faults;
         if (faults == run) {
-            double broken = triesOf[serviceClass] - servedOf[serviceClass];
-            double servedGone = wasServed ? 0 : (1 - servedKept) * servedOf[serviceClass];
-            double gone = wasServed ? (1 - brokenKept) * broken : servedGone;
-            servedOf[serviceClass] -= servedGone;
-            triesOf[serviceClass] -= gone;
-            served = Math.max(0, served - servedGone);
-            tries = Math.max(served, tries - gone);
+            // The sums over all classes stay: what is served in a second, and so its room, goes by them.
+            double broken = (wasServed ? brokenKept : 1) * (triesOf[serviceClass] - servedOf[serviceClass]);
+            servedOf[serviceClass] *= wasServed ? 1 : servedKept;
+            triesOf[serviceClass] = servedOf[serviceClass] + broken;
         }
     }
 
