--- a/src/main/java/cranedeal/node/Succession.java
+++ b/src/main/java/cranedeal/node/Succession.java
@@ -47,8 +47,11 @@
         throw new IOException("no place among the processes of this balancer");
     }
 
-    /** Whether another process has locked any of these bytes. */
-    private static boolean isHeld(FileChannel file, long from, long size) throws IOException {
+    /**
+     * Whether another process has locked any of these bytes. One thread at a time: to the virtual machine two
+     * of them at the same bytes are an error.
+     */
+    private static synchronized boolean isHeld(FileChannel file, long from, long size) throws IOException {
         if (size == 0) {
             return false;
         }
--- a/src/test/java/cranedeal/OutageBenchmark.java
+++ b/src/test/java/cranedeal/OutageBenchmark.java
@@ -105,7 +105,8 @@
                     its[slot] += isBad ? 1 : 0;
                 }
                 boolean fails = outage && random.nextDouble() < failing;
-                double takes = fails ? 1 : 1 + exponential(SERVED_MS[(int) (sent.upstream() - 1) % 2], random);
+                double served = SERVED_MS[(int) (sent.upstream() - 1) % 2];
+                double takes = fails ? 1 : 1 + exponential(served, random);
                 finishes.add(new Finish(now + takes, sent, fails));
             }
         }
--- a/src/test/java/cranedeal/node/UpgradeTest.java
+++ b/src/test/java/cranedeal/node/UpgradeTest.java
@@ -6,12 +6,14 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -151,6 +153,29 @@
         assertFalse(lastRecalls());
     }
 
+    @Test
+    void anyThreadMayAskForASuccessor() throws Exception {
+        Succession processes = Succession.join(folder);
+        List<CompletableFuture<Boolean>> asked = new ArrayList<>();
+        for (int thread = 0; thread < 4; thread++) {
+            asked.add(CompletableFuture.supplyAsync(() -> {
+                try {
+                    boolean any = false;
+                    for (int i = 0; i < 5_000; i++) {
+                        any |= processes.hasSuccessor();
+                    }
+                    return any;
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }));
+        }
+        for (CompletableFuture<Boolean> one : asked) {
+            assertFalse(one.get());
+        }
+        processes.leave();
+    }
+
     private Peer caller() throws IOException {
         Peer caller = Peer.to(address);
         caller.write(HEALTH);
