--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -31,8 +31,6 @@
     private static final double BROKEN_KEPT = 0.1;
     /** Ms between refreshes of a server's faded evidence; far below the fade, it only saves CPU. */
     private static final double FADE_STEP = 200;
-    /** Calls of late of which there must be evidence for a later process to be told of a server. */
-    private static final double LEAST_LEARNT = 0.1;
     /** Samples that the mean of a server's machine type weighs in its base, as most bases rest on few. */
     private static final double BASE_POOL = 2;
     /** Calls that its machine type's record weighs in s: a type in trouble shows in all its servers. */
@@ -823,8 +821,7 @@
     public Learnt learnt(double now) {
         servers.values().forEach(server -> server.fade(now, EVIDENCE_FADE, FADE_STEP));
         return new Learnt(Arrays.stream(classes).map(ClassRecord::learnt).toList(),
-                servers.values().stream().filter(server -> server.tries >= LEAST_LEARNT)
-                        .map(server -> server.learnt(now)).toList());
+                servers.values().stream().map(server -> server.learnt(now)).toList());
     }
 
     /** Evidence goes on fading over the time between, as if this process had been there all along. */
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -177,7 +177,7 @@
      * What an instance has learnt of classes and upstreams.
      *
      * @param classes in the order of {@link OfUpstream#served} and {@link OfUpstream#tries}
-     * @param upstreams those of which something was seen of late
+     * @param upstreams those that are listed
      */
     record Learnt(List<OfClass> classes, List<OfUpstream> upstreams) {
 
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -127,7 +127,7 @@
         this.succession = succession;
         this.folder = folder;
         this.book = book;
-        Path warm = config.stateDir() != null ? config.stateDir() : succession == null ? null : folder;
+        Path warm = config.stateDir();
         keeper = warm == null ? null : new LearntKeeper(new LearntFile(warm), clock);
         PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
                 CACHED, false);
