Replace whole files in one place, and bound what is learnt before it is encoded

Orders and what is learnt each wrote a file beside and moved it; WholeFile does it for both, and says why the unfinished one must not end in .new: a store in the same folder deletes such files. The bounds on classes and upstreams stood inside the encoding, with a comment that was not true of them; they are applied once before it.

--- a/src/main/java/cranedeal/node/LearntFile.java
+++ b/src/main/java/cranedeal/node/LearntFile.java
@@ -11,7 +11,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -83,24 +82,18 @@
     /** Replaces what was written. */
     void write(Kept kept) throws IOException {
         Files.createDirectories(folder);
-        Path fresh = folder.resolve(FILE + ".next");
-        Files.write(fresh, encode(kept));
-        Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE,
-                StandardCopyOption.REPLACE_EXISTING);
+        WholeFile.replace(folder.resolve(FILE), encode(kept.at(), bounded(kept.learnt())));
     }
 
-    private static byte[] encode(Kept kept) throws IOException {
+    private static byte[] encode(double at, Learnt learnt) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         bytes.write(new byte[SUM]);
-        // A name that is no longer in use has its place all the same, as counts go by places.
-        List<OfClass> classes = kept.learnt().classes();
-        boolean few = classes.size() <= MOST_CLASSES;
         try (JsonGenerator json = NodeConfig.JSON.createGenerator(bytes)) {
             json.writeStartObject();
             json.writeNumberField("form", FORM);
-            json.writeNumberField("at", kept.at());
+            json.writeNumberField("at", at);
             json.writeArrayFieldStart("classes");
-            for (OfClass one : few ? classes : List.<OfClass>of()) {
+            for (OfClass one : learnt.classes()) {
                 json.writeStartObject();
                 json.writeStringField("name", one.name());
                 json.writeNumberField("latency", one.latency());
@@ -110,7 +103,7 @@
             }
             json.writeEndArray();
             json.writeArrayFieldStart("upstreams");
-            for (OfUpstream one : few ? best(kept.learnt().upstreams()) : List.<OfUpstream>of()) {
+            for (OfUpstream one : learnt.upstreams()) {
                 write(one, json);
             }
             json.writeEndArray();
@@ -138,10 +131,16 @@
         json.writeEndObject();
     }
 
-    private static List<OfUpstream> best(List<OfUpstream> all) {
-        return all.size() <= MOST_UPSTREAMS ? all : all.stream()
+    private static Learnt bounded(Learnt all) {
+        if (all.classes().size() > MOST_CLASSES) {
+            return Learnt.NOTHING;
+        }
+        if (all.upstreams().size() <= MOST_UPSTREAMS) {
+            return all;
+        }
+        return new Learnt(all.classes(), all.upstreams().stream()
                 .sorted(Comparator.comparingDouble(OfUpstream::triesInAll).reversed())
-                .limit(MOST_UPSTREAMS).toList();
+                .limit(MOST_UPSTREAMS).toList());
     }
 
     private static String sum(byte[] bytes) {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -127,8 +127,8 @@
         this.succession = succession;
         this.folder = folder;
         this.book = book;
-        Path warm = config.stateDir();
-        keeper = warm == null ? null : new LearntKeeper(new LearntFile(warm), clock);
+        keeper = config.stateDir() == null ? null
+                : new LearntKeeper(new LearntFile(config.stateDir()), clock);
         PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
                 CACHED, false);
         sockets = new Sockets(config.sockets() - (config.admin() == null ? 0 : Door.DESCRIPTORS)
--- a/src/main/java/cranedeal/node/Orders.java
+++ b/src/main/java/cranedeal/node/Orders.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -86,10 +85,8 @@
             lines.add(DRAIN);
         }
         lines.add(RELOADS + reloads);
-        Path fresh = folder.resolve(FILE + ".new");
-        Files.write(fresh, lines);
-        Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE,
-                StandardCopyOption.REPLACE_EXISTING);
+        WholeFile.replace(folder.resolve(FILE),
+                (String.join("\n", lines) + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
     private static long count(String line) {
