Ask once more whether an attempt may go out when its connection is up

Cause: the module holds a keyed repeat to its window when it asks for the attempt, but a connection may come up 250 ms later and more, and UpstreamClient.Attempt.begin looked at the drain and the deadline only. Ruled out: a clock, a second copy, a list. Likewise a request went out whose caller had left where the settings allow no calling off, and one meant for a warm process to the one that had replaced it.

Change: an attempt asks its listener again once its connection is up: it goes out only while somebody waits and, for a keyed class, within the window from the first attempt that may have run; and only to the process it was meant for. None of these ran. What never ran opens no window.

--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -1,5 +1,7 @@
 package cranedeal.node;
 
+import cranedeal.LoadBalancer.Repeat;
+import cranedeal.LoadBalancer.ServiceClass;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -35,7 +37,9 @@
     }
 
     final long id;
-    private final String serviceClass;
+    /** Its class's name as the configuration has it, and the class by the settings of its arrival. */
+    private final String className;
+    private final ServiceClass serviceClass;
     private final Figures figures;
     final FullHttpRequest request;
     /** The body where that comes on its own; null for others. */
@@ -51,9 +55,10 @@
     private Caller caller;
     private boolean begun;
 
-    Exchange(long id, String serviceClass, FullHttpRequest request, double deadline, Caller caller,
-            Figures figures) {
+    Exchange(long id, String className, ServiceClass serviceClass, FullHttpRequest request, double deadline,
+            Caller caller, Figures figures) {
         this.id = id;
+        this.className = className;
         this.serviceClass = serviceClass;
         this.figures = figures;
         this.request = request;
@@ -72,6 +77,26 @@
         return begun && isOpen();
     }
 
+    /**
+     * Whether an attempt may go out now, some time after the module has asked for it: only while somebody
+     * waits, and where repeats are dropped for a while, only for that long after another may have run.
+     */
+    boolean mayBegin(int number, double now) {
+        if (!isOpen()) {
+            return false;
+        }
+        if (serviceClass.repeat() != Repeat.DEDUPLICATED) {
+            return true;
+        }
+        for (int i = 0; i < attempts.size(); i++) {
+            UpstreamClient.Attempt other = attempts.get(i);
+            if (i != number && other != null && now >= other.mayHaveRunFrom() + serviceClass.memory()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Answers unless that is done already or nobody waits any more; breaks off an answer that has begun. */
     void answer(HttpResponseStatus status, ByteBuf body, double retryAfter) {
         Caller waiting = caller;
@@ -79,7 +104,7 @@
             return;
         }
         close();
-        figures.answered(serviceClass, begun ? HttpResponseStatus.BAD_GATEWAY : status);
+        figures.answered(className, begun ? HttpResponseStatus.BAD_GATEWAY : status);
         if (begun) {
             waiting.abort();
         } else {
@@ -110,7 +135,7 @@
     void end() {
         Caller waiting = caller;
         close();
-        figures.answered(serviceClass, HttpResponseStatus.OK);
+        figures.answered(className, HttpResponseStatus.OK);
         waiting.end();
     }
 
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -607,8 +607,9 @@
     /** Takes a request in; the node owns a reference to {@code message} from here on. */
     Exchange request(Function<Long, Request> description, FullHttpRequest message, Exchange.Caller caller) {
         Request request = description.apply(++lastId);
-        Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()), message,
-                request.deadline(), caller, figures);
+        Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()),
+                config.settings().classes().get(request.serviceClass()), message, request.deadline(), caller,
+                figures);
         exchanges.put(exchange.id, exchange);
         exchange.arrivedAt = clock.now();
         if (exchange.upload == null) {
@@ -767,6 +768,11 @@
                 Node.this.finished(exchange, number, upstream, now, result, response);
             }
 
+            @Override
+            public boolean mayBegin() {
+                return exchange.mayBegin(number, clock.now());
+            }
+
             @Override
             public Download begun(UpstreamClient.Attempt attempt, long length) {
                 return Node.this.begun(exchange, number, now, attempt, length);
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -74,6 +74,11 @@
          */
         void finished(Result result, FullHttpResponse response);
 
+        /** Whether it may still be begun, asked as its connection is up: that may have taken long. */
+        default boolean mayBegin() {
+            return true;
+        }
+
         /**
          * A served answer has begun that is too large to be held; its length is negative if not known.
          * Returns who takes it, null for nobody.
@@ -141,6 +146,12 @@
         boolean listed;
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
 
+        /** Whether it is the process that was listed before, where that listened. */
+        boolean isStill(Member before) {
+            return member.upstream().startedAt() == before.upstream().startedAt()
+                    && member.address().equals(before.address());
+        }
+
         void closeIdle() {
             // Closing may call back and take the connection out of the queue.
             for (Connection c = idle.pollFirst(); c != null; c = idle.pollFirst()) {
@@ -161,11 +172,10 @@
             }
             Target target = targets.computeIfAbsent(member.upstream().id(), id -> new Target());
             Member before = target.member;
-            if (before != null && (before.upstream().startedAt() != member.upstream().startedAt()
-                    || !before.address().equals(member.address()))) {
+            target.member = member;
+            if (before != null && !target.isStill(before)) {
                 target.closeIdle();
             }
-            target.member = member;
             target.listed = true;
             if (member.upstream().state() == State.READY && !banned.contains(member.upstream().id())) {
                 target.toldOff = Double.NaN;
@@ -312,9 +322,14 @@
         private double until;
         private Future<?> expiry;
         private Target target;
+        /** The process that it was meant for. */
+        private Member meant;
         private Channel channel;
         /** How long its connection had been idle; NaN for a new one. */
         private double idleFor = Double.NaN;
+        /** When its first byte went out; NaN before. */
+        private double begunAt = Double.NaN;
+        private boolean neverRan;
         private boolean written;
         private boolean over;
         /** Who takes the answer, once a large one has begun; and when something last moved. */
@@ -342,6 +357,7 @@
                 end(Result.CONNECT_FAILED, null);
                 return;
             }
+            meant = to.member;
             Connection idle = takeIdle(to);
             if (idle != null) {
                 begin(idle);
@@ -369,11 +385,18 @@
             double now = clock.now();
             // NaN compares false: a ready upstream takes anything.
             boolean drained = now >= target.toldOff + settings.rules().drainGrace();
-            if (drained || now >= until || upload != null && !upload.isRepeatable()) {
-                connection.park(target);
+            boolean restarted = !target.isStill(meant);
+            if (drained || restarted || now >= until || upload != null && !upload.isRepeatable()
+                    || !listener.mayBegin()) {
+                if (restarted) {
+                    channel.close();
+                } else {
+                    connection.park(target);
+                }
                 end(Result.CONNECT_FAILED, null);
                 return;
             }
+            begunAt = now;
             idleFor = now - connection.idleSince;
             connection.carry(this);
             if (upload == null) {
@@ -490,6 +513,11 @@
             giveUp(written ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
 
+        /** From when it may have run, in ms of the clock; infinity if it can't have, so far or ever. */
+        double mayHaveRunFrom() {
+            return neverRan || Double.isNaN(begunAt) ? Double.POSITIVE_INFINITY : begunAt;
+        }
+
         /** Stops waiting, and lets the upstream know by closing the connection. */
         void cancel() {
             giveUp(Result.CANCELLED);
@@ -500,7 +528,7 @@
          * outcome would otherwise overtake it, and be a second copy.
          */
         private void giveUp(Result result) {
-            if (close()) {
+            if (close(result)) {
                 if (channel != null) {
                     channel.close();
                 }
@@ -509,17 +537,18 @@
         }
 
         private void end(Result result, FullHttpResponse response) {
-            if (close()) {
+            if (close(result)) {
                 listener.finished(result, response);
             }
         }
 
         /** It is over; false if it was so before. */
-        private boolean close() {
+        private boolean close(Result result) {
             if (over) {
                 return false;
             }
             over = true;
+            neverRan = result.neverRan();
             if (expiry != null) {
                 expiry.cancel(false);
             }
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -19,6 +19,8 @@
     int sockets = 1_024;
     int connectTimeout = 3_000;
     int drainGrace = 2_000;
+    /** For how long repeats of a keyed request are dropped. */
+    int memory = 4_000;
     /** Whether operators have a door. */
     boolean door;
     /** Where the node keeps what must outlast it; null for nowhere. */
@@ -81,7 +83,7 @@
                  {"name":"look-up","aim":1000.0,"deadline":2500.0,"worth":1.0,"lateValue":0.5,
                   "idempotency":"idempotent","streamed":false},
                  {"name":"tile-order","aim":1000.0,"deadline":2500.0,"worth":8.0,"lateValue":0.5,
-                  "idempotency":"deduplicated","group":"cell","memorySpan":4000.0,"streamed":false},
+                  "idempotency":"deduplicated","group":"cell","memorySpan":%d,"streamed":false},
                  {"name":"credit-spend","aim":1500.0,"deadline":2500.0,"worth":2.0,"lateValue":0.3,
                   "idempotency":"at_most_once","streamed":false}],
                  "limits":{"attemptsCap":4,"maxOpen":20000,"cancel":true,"parallelTries":true,"probes":true,
@@ -94,7 +96,7 @@
                   "handshake":0.0,"peer":0.0,"registryMode":0.0}}}
                 """.formatted(door ? "\"admin_addr\":\"127.0.0.1:0\"," : "",
                         stateDir == null ? "" : "\"state_dir\":\"" + stateDir + "\",", discovery.address(),
-                        sockets, roster(41, true, entries), connectTimeout, drainGrace);
+                        sockets, roster(41, true, entries), memory, connectTimeout, drainGrace);
     }
 
     /** A new connection of a caller. */
@@ -104,6 +106,32 @@
         return caller;
     }
 
+    /** Answers the node's first watch with a whole list, and returns the watch. */
+    Peer tell(String... entries) throws Exception {
+        Script.next(script.changes);
+        Peer watch = discovery.accept();
+        watch.read();
+        watch.write(ok(roster(42, true, entries)));
+        if (Script.next(script.changes) != LoadBalancer.Change.FULL) {
+            throw new AssertionError("the list was not taken");
+        }
+        return watch;
+    }
+
+    /** Waits until the node has read all that callers have written to it so far. */
+    void settle() throws IOException {
+        Peer other = caller();
+        other.write("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+        other.read();
+    }
+
+    /** A request of the class whose repeats are dropped for a while. */
+    static String order(String id) {
+        return "POST /tile-order HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + id
+                + "\r\nX-Lane: tile-order\r\nX-Remaining: 10\r\nIdempotency-Key: k" + id
+                + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
     /** An operator's call; the status of its answer. */
     int order(String method, String path) throws IOException {
         try (Peer operator = Peer.to(node.doorAddress())) {
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -11,10 +11,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -263,7 +259,7 @@
             stage.connectTimeout = 200;
             stage.script.onStart = () -> stage.script.actions.watch(true);
             stage.start();
-            tell(stage, Stage.entry(9, full.address(), "up"));
+            stage.tell(Stage.entry(9, full.address(), "up"));
             Peer caller = stage.caller();
             caller.write(Stage.spend("1", "x"));
             assertEquals(Result.CONNECT_FAILED, stage.script.result());
@@ -278,7 +274,7 @@
             stage.drainGrace = 50;
             stage.script.onStart = () -> stage.script.actions.watch(true);
             stage.start();
-            Peer watch = tell(stage, Stage.entry(9, full.address(), "up"));
+            Peer watch = stage.tell(Stage.entry(9, full.address(), "up"));
             Peer caller = stage.caller();
             caller.write(Stage.spend("1", "x"));
             // The node has the request once it has answered what came after it on its one thread.
@@ -409,58 +405,4 @@
             loop.parent().shutdownGracefully();
         }
     }
-
-    /** Answers the node's first watch with a whole list of one upstream. */
-    private static Peer tell(Stage stage, String entry) throws Exception {
-        Script.next(stage.script.changes);
-        Peer watch = stage.discovery.accept();
-        watch.read();
-        watch.write(Stage.ok(Stage.roster(42, true, entry)));
-        assertEquals(Change.FULL, Script.next(stage.script.changes));
-        return watch;
-    }
-
-    /** A listening socket whose queue is full: further connections hang until someone is accepted. */
-    private static final class Backlog implements AutoCloseable {
-
-        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        private final List<SocketChannel> filling = new ArrayList<>();
-
-        Backlog() throws Exception {
-            for (int i = 0; i < 4; i++) {
-                SocketChannel channel = SocketChannel.open();
-                channel.configureBlocking(false);
-                channel.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-                channel.connect(server.getLocalSocketAddress());
-                filling.add(channel);
-            }
-        }
-
-        String address() {
-            return "127.0.0.1:" + server.getLocalPort();
-        }
-
-        /** Lets those in that fill the queue, then the next one that is none of them. */
-        Peer acceptLast() throws Exception {
-            List<Integer> own = new ArrayList<>();
-            for (SocketChannel channel : filling) {
-                own.add(((InetSocketAddress) channel.getLocalAddress()).getPort());
-            }
-            server.setSoTimeout(Peer.PATIENCE_MS);
-            Peer next = new Peer(server.accept());
-            while (own.contains(next.socket.getPort())) {
-                next.close();
-                next = new Peer(server.accept());
-            }
-            return next;
-        }
-
-        @Override
-        public void close() throws IOException {
-            for (SocketChannel channel : filling) {
-                channel.close();
-            }
-            server.close();
-        }
-    }
 }
