End callers' connections in one way and in order, also as the process ends

Bytes that came just then met a closed socket, the kernel answered with a reset, and what the caller had not read of its answer was gone. write() let an answer in a drain say 'close' and went on to read: a request behind it was sent on and its answer could not go out, so it was lost; and one that had been sent ahead was sent on behind an answer that told its caller to go. evictIdle looked at half a request no second time. abort() reset also where the length tells that an answer is broken. drain() ended the process with its listening socket open, so who waited in the queue was reset, and gave the last 504s no time to go out.

Change: Connection.shutDown is the one way to end a connection in order: flush, end the sending, throw away what comes, close at the caller's end or a bound. Nothing is read behind the last answer. Of those evicted for a descriptor eight may be on their way out at a time. drain() closes the listener, after the queue is taken in, once nobody comes any more, and waits at most 100 ms more for the last answers: 0.65 s of the 0.7 s behind the longest deadline. What is still broken off: a reader that stalls, a caller that sent no whole request in time, an answer whose end only a reset can tell.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -83,6 +83,8 @@
     private static final long LINGER_MS = 500;
     /** How long it may take to read that answer. */
     private static final long UNREAD_MS = 5_000;
+    /** How many connections that had to make room may be on their way out and still hold a descriptor. */
+    private static final int MOST_LEAVING = 8;
     /** What the kernel may hold of a large answer. */
     private static final int SEND_BUFFER = 128 * 1_024;
 
@@ -94,10 +96,14 @@
     private final Map<String, Integer> classes = new HashMap<>();
     /** Every caller's connection, in the order in which they came or last became idle. */
     private final Set<Connection> connections = new LinkedHashSet<>();
+    /** Those that had to make room and are not closed yet, the earliest first. */
+    private final ArrayDeque<Connection> leaving = new ArrayDeque<>();
     private Channel listening;
     /** The socket of {@link #listening}. */
     private ServerSocketChannel socket;
     private boolean draining;
+    /** Whether nobody is accepted any more; the socket is closed soon after. */
+    private boolean deaf;
     /** What the front hears when it asks how this balancer does. */
     private HttpResponseStatus health = HttpResponseStatus.OK;
     /** Callers turned down since it was last told: for what they sent, and for what they did not send. */
@@ -169,8 +175,13 @@
                 // The request may have come and not been read yet, least of all where the processor is short.
                 connection.readNow();
                 if (connection.isOverdue(now)) {
-                    silent += connection.served && !connection.partial() ? 0 : 1;
-                    connection.channel.close();
+                    if (connection.served && !connection.partial()) {
+                        connection.shutDown(UNREAD_MS, LINGER_MS);
+                    } else {
+                        // Nothing is owed to whoever sent no whole request but that it is over in time.
+                        silent++;
+                        connection.channel.close();
+                    }
                 }
             }
         }
@@ -195,6 +206,15 @@
     /** Leaves new callers to another process that listens at the same address, and sends away who is here. */
     void handOver() {
         beginDrain(HttpResponseStatus.OK);
+        stopListening();
+    }
+
+    /** Takes in who waits to be accepted, and nobody after that. */
+    void stopListening() {
+        if (deaf) {
+            return;
+        }
+        deaf = true;
         // Only once no selector knows the socket does closing it take effect at once.
         listening.deregister();
         loop.schedule(this::closeListener, 1, TimeUnit.MILLISECONDS);
@@ -221,7 +241,7 @@
         health = HttpResponseStatus.OK;
     }
 
-    /** Closes what is idle and tells whether nothing is left, so that the process may end. */
+    /** Closes what is idle and tells whether nothing is left and nobody can come, so that the process may end. */
     boolean endDrain() {
         if (listening != null) {
             Sockets.readNow(listening);
@@ -231,10 +251,18 @@
             connection.readNow();
             // Nor must one be cut off whose request is on its way in; it has its time, like any.
             if (connection.isIdle() && !connection.partial() && !connection.isFresh()) {
-                connection.channel.close();
+                connection.shutDown(UNREAD_MS, LINGER_MS);
             }
         }
-        return connections.isEmpty();
+        return connections.isEmpty() && deaf && !socket.isOpen();
+    }
+
+    /** Nothing that comes from now on is taken; what is at work is to be answered before. */
+    void endAll() {
+        draining = true;
+        stopListening();
+        List.copyOf(connections).stream().filter(Connection::isIdle)
+                .forEach(connection -> connection.shutDown(UNREAD_MS, LINGER_MS));
     }
 
     /** Closes the caller's connection that has been idle for longest, as it may between requests. */
@@ -243,8 +271,12 @@
             if (connection.isEvictable()) {
                 // A request may have come that nobody has read yet.
                 connection.readNow();
-                if (connection.isIdle()) {
-                    connection.channel.close();
+                if (connection.isEvictable()) {
+                    connection.shutDown(UNREAD_MS, LINGER_MS);
+                    leaving.addLast(connection);
+                    if (leaving.size() > MOST_LEAVING) {
+                        leaving.pollFirst().channel.close();
+                    }
                     return true;
                 }
             }
@@ -284,7 +316,10 @@
         private Runnable drained;
         /** Whether nothing more is read as a request: where the last one ends may be in doubt. */
         private boolean ended;
+        /** Whether the answer at hand, or the one before, is the last. */
         private boolean closing;
+        /** Whether an answer that has begun says where it ends. */
+        private boolean framed;
 
         Connection(Channel channel, RequestDecoder decoder, RequestAggregator whole) {
             this.channel = channel;
@@ -425,11 +460,14 @@
                 response.headers().set("Content-Length", length);
             } else if (current.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
                 HttpUtil.setTransferEncodingChunked(response, true);
-            } else {
+            }
+            framed = length >= 0 || HttpUtil.isTransferEncodingChunked(response);
+            if (!framed) {
+                // The end of the connection ends it, and nothing can come behind that.
+                dropAhead();
                 ended = true;
             }
-            closing |= draining || ended && ahead.isEmpty();
-            if (closing) {
+            if (isLast()) {
                 response.headers().set("Connection", "close");
             }
             drained = writable;
@@ -457,10 +495,30 @@
 
         @Override
         public void abort() {
-            // Where only the end of the connection ends an answer, nothing but a reset tells.
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
             exchange = null;
-            channel.close();
+            if (!framed) {
+                // Where only the end of the connection ends an answer, nothing but a reset tells.
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+                return;
+            }
+            drained = null;
+            dropAhead();
+            drop(current);
+            current = null;
+            shutDown(UNREAD_MS, LINGER_MS);
+        }
+
+        private void dropAhead() {
+            ahead.forEach(Frontend::drop);
+            ahead.clear();
+        }
+
+        /** Whether the answer at hand is the connection's last; from then on nothing more is read. */
+        private boolean isLast() {
+            ended |= draining;
+            closing |= ended && ahead.isEmpty();
+            return closing;
         }
 
         @Override
@@ -482,8 +540,7 @@
             boolean early = current instanceof LargeRequest large && !large.upload.isWhole();
             // The rest of its body is still to come, and may be long.
             ended |= early;
-            closing |= early || draining || ended && ahead.isEmpty();
-            if (closing) {
+            if (isLast()) {
                 response.headers().set("Connection", "close");
             }
             finish(response);
@@ -508,12 +565,11 @@
             // The longest idle come first.
             connections.remove(this);
             connections.add(this);
-            if (closing && ahead.isEmpty()) {
-                channel.writeAndFlush(last).addListener(written -> linger(early));
-                loop.schedule(() -> channel.close(), unread, TimeUnit.MILLISECONDS);
+            channel.writeAndFlush(last);
+            if (closing) {
+                shutDown(unread, early ? unread : LINGER_MS);
                 return;
             }
-            channel.writeAndFlush(last);
             FullHttpRequest next = ahead.pollFirst();
             if (next != null) {
                 handle(next);
@@ -521,23 +577,31 @@
         }
 
         /**
-         * Ends the sending, and closes once the caller has done so too or has had its time: to close on bytes
-         * that are still coming in would reset the connection and could take the answer with it.
+         * Ends the connection in order, as everything does that has no cause to break it off: what is written
+         * goes out, then the sending ends; what still comes is thrown away, and once the caller has ended too,
+         * or has had its time, the connection is closed. To close on bytes that are still coming in would reset
+         * it and could take an answer with it. A request among them was not read, and its caller sends it again.
+         *
+         * @param unread ms that it may take to read what was written
+         * @param linger ms for which the caller may go on sending after that
          */
-        private void linger(boolean early) {
-            ((SocketChannel) channel).shutdownOutput();
-            if (!early) {
-                loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-            }
+        void shutDown(long unread, long linger) {
+            ended = true;
+            closing = true;
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> {
+                ((SocketChannel) channel).shutdownOutput();
+                loop.schedule(() -> channel.close(), linger, TimeUnit.MILLISECONDS);
+            });
+            loop.schedule(() -> channel.close(), unread, TimeUnit.MILLISECONDS);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
+            leaving.remove(this);
             listening.config().setAutoRead(true);
             drained = null;
-            ahead.forEach(Frontend::drop);
-            ahead.clear();
+            dropAhead();
             Exchange left = exchange;
             exchange = null;
             if (current != null) {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -65,6 +65,8 @@
     /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
     private static final double LONGEST_DRAIN_MS = 3_000;
     private static final double DRAIN_SLACK_MS = 550;
+    /** How long after that the last answers may take to go out and their connections to end in order. */
+    private static final double LAST_WORDS_MS = 100;
     /** How long before that callers are sent away: what comes until then still has time to be served. */
     private static final double SEND_AWAY_MS = 1_200;
 
@@ -448,15 +450,29 @@
         loop.submit(() -> frontend.beginDrain(HttpResponseStatus.OK)).sync();
         // Those that come late come to the successor, where there is one.
         double idleFrom = succeeded ? sendAway : sendAway + LATE_CONNECTIONS_MS;
+        boolean listens = !succeeded;
         boolean done = false;
         while (!done && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
-            boolean late = clock.now() < idleFrom;
-            done = !late && endDrain();
+            if (clock.now() >= idleFrom) {
+                if (listens) {
+                    // Who waits in the queue of a socket that ends with its process would be reset.
+                    loop.submit(frontend::stopListening).sync();
+                    listens = false;
+                }
+                done = endDrain();
+            }
         }
         // What SIGKILL found unanswered would be lost; a failure is an answer.
-        loop.submit(() -> List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
-                .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT))).sync();
+        loop.submit(() -> {
+            frontend.endAll();
+            List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
+                    .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT));
+        }).sync();
+        while (!done && clock.now() < latest + LAST_WORDS_MS) {
+            Thread.sleep(DRAIN_CHECK_MS);
+            done = endDrain();
+        }
     }
 
     /** Leaves callers to another process, if one serves where this one is to end. */
