Open a watch that has fallen silent anew at once

Cause: a watch waits 3 s and has 1.5 s of grace; silent from its start it is over 4.5 s later.

Change: a call that was asked and got nothing in its time is followed by another at once; only if that fails is it FAILED. From the silence to the next answer: 4.5 s, a connect and an answer, whatever askEvery is. A watch that is reset, refused or answered badly goes by the module's wait as before: there discovery may be crowded, and no clock of silence runs.

Measured: the test of a silent discovery, replaced by one as strict in two cases (it answers then, it does not), fails in both without the change.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -30,7 +30,7 @@
 /**
  * Asks discovery for the list of upstreams and watches its changes. Whatever goes wrong with a call, a
  * garbled answer or none at all, is {@link Change#FAILED} once, and the old list holds; when to ask again is
- * the module's decision.
+ * the module's decision. Only a watch that falls silent is opened anew once before that.
  */
 final class Discovery {
 
@@ -39,7 +39,8 @@
     /**
      * How long a watch may wait for news. One that has fallen silent looks like one with no news until it is
      * over, and what discovery wrote counts as told 6 s later: it must be over, and time be left to ask
-     * again, before that. Going on with a watch costs discovery next to nothing.
+     * again, before that; so the one after it is opened at once. Going on with a watch costs discovery next to
+     * nothing.
      */
     static final int WATCH_MS = 3_000;
     /** How long after that an answer may still be under way. */
@@ -60,6 +61,8 @@
     private InetSocketAddress address;
     private long version;
     private boolean watching;
+    /** Whether the call that is out follows on one that has fallen silent. */
+    private boolean anew;
     /** The watch's connection, kept from call to call, and its call that is out. */
     private Channel kept;
     private Call watch;
@@ -122,8 +125,16 @@
     }
 
     private void watched(Roster roster) {
+        boolean silent = roster == null && watch.silent;
         kept = roster == null ? null : watch.channel;
         watch = null;
+        if (silent && !anew) {
+            // What it has missed counts as told before long, whenever the module would ask again.
+            anew = true;
+            watchOn();
+            return;
+        }
+        anew = false;
         tell(roster);
         // The watch goes on only if its next call comes soon, so it must not wait for the module.
         if (roster != null && watching && watch == null) {
@@ -164,11 +175,13 @@
         private final Future<?> expiry;
         private Channel channel;
         private boolean over;
+        /** Whether it was asked and nothing has come in its time. */
+        private boolean silent;
 
         Call(String query, long patience, Consumer<Roster> end) {
             this.query = query;
             this.end = end;
-            expiry = loop.schedule(this::fail, patience, TimeUnit.MILLISECONDS);
+            expiry = loop.schedule(this::expire, patience, TimeUnit.MILLISECONDS);
         }
 
         /** Asks over the given connection if it still stands, otherwise over a new one. */
@@ -210,6 +223,11 @@
             }
         }
 
+        private void expire() {
+            silent = channel != null && channel.isActive();
+            fail();
+        }
+
         private void fail() {
             if (!over) {
                 abandon();
