Keep the watch open where settings have lists pushed

Ruled out: lists lost on the way (no call in any log).

Change: Discovery keeps the watch on its own there, from before the first request, and opens it again 100 ms after a failure, since what it misses counts as told at once; nobody hears of failures, as nobody has asked. A reload may switch either way.

Measured: the test fails without the change (no connection came).

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -30,7 +30,8 @@
 /**
  * Asks discovery for the list of upstreams and watches its changes. Whatever goes wrong with a call, a
  * garbled answer or none at all, is {@link Change#FAILED} once, and the old list holds; when to ask again is
- * the module's decision. Only a watch that falls silent is opened anew once before that.
+ * the module's decision. Only a watch that falls silent is opened anew once before that. Where settings have
+ * lists pushed, the module never asks, and the watch is kept open from here.
  */
 final class Discovery {
 
@@ -46,6 +47,9 @@
     /** How long after that an answer may still be under way. */
     static final int LATE_MS = 1_500;
 
+    /** How soon a watch that nobody asks for is opened again after a failure: all that it misses counts as told. */
+    private static final int REOPEN_MS = 100;
+
     /** What the list is told to. */
     interface Listener {
 
@@ -61,6 +65,8 @@
     private InetSocketAddress address;
     private long version;
     private boolean watching;
+    /** Whether the list is to come on its own, as the settings have it; nobody hears of failures then. */
+    private boolean pushed;
     /** Whether the call that is out follows on one that has fallen silent. */
     private boolean anew;
     /** The watch's connection, kept from call to call, and its call that is out. */
@@ -87,6 +93,14 @@
                 });
     }
 
+    /** Keeps the list as settings want it that have changes come on their own, or leaves that to whoever asks. */
+    void push(boolean on) {
+        if (on != pushed) {
+            pushed = on;
+            watch(on);
+        }
+    }
+
     /** Begins the watch, or ends it. */
     void watch(boolean on) {
         watching = on;
@@ -135,6 +149,10 @@
             return;
         }
         anew = false;
+        if (roster == null && pushed) {
+            loop.schedule(this::reopen, REOPEN_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
         tell(roster);
         // The watch goes on only if its next call comes soon, so it must not wait for the module.
         if (roster != null && watching && watch == null) {
@@ -142,6 +160,12 @@
         }
     }
 
+    private void reopen() {
+        if (pushed && watch == null) {
+            watchOn();
+        }
+    }
+
     /** Asks once for the whole list. */
     void fetch() {
         new Call("", CONNECT_TIMEOUT_MS + LATE_MS, this::fetched).start(null);
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -223,6 +223,7 @@
     private void begin(Orders kept, LearntFile.Kept learnt) {
         Roster known = new Roster(config.known().version(), true, config.known().members());
         upstreams.update(known);
+        discovery.push(!config.settings().subscribe());
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
         if (learnt != null) {
             tell(null, () -> keeper.recall(learnt, balancer));
@@ -541,6 +542,8 @@
         figures.show(replaced.classes());
         upstreams.retune(replaced.settings());
         frontend.retune(replaced);
+        // Before the module, which may begin to ask for itself.
+        discovery.push(!replaced.settings().subscribe());
         tell(null, () -> balancer.retuned(clock.now(), replaced.settings()));
         discovery.retune(replaced);
         LOG.info("goes by a new configuration; discovery is at " + replaced.discovery());
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -146,6 +146,26 @@
         }
     }
 
+    @Test
+    void whereListsArePushedTheWatchIsKeptThoughNobodyAsks() throws Exception {
+        try (stage) {
+            stage.pushed = true;
+            stage.script.onStart = () -> { };
+            started();
+            Peer watch = stage.discovery.accept();
+            assertEquals("GET /catalog/members?index=41&wait=3000 HTTP/1.1", watch.read().first());
+            watch.write(Stage.ok(Stage.roster(45, false, Stage.entry(0, "127.0.0.1:1", "draining"))));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            watch.read();
+            watch.reset();
+            // Nobody has asked, so nobody is told of a failure; the watch is back all the same.
+            Peer again = stage.discovery.accept();
+            assertEquals("GET /catalog/members?index=45&wait=3000 HTTP/1.1", again.read().first());
+            again.write(Stage.ok(Stage.roster(46, false)));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+        }
+    }
+
     @Test
     void theWholeListIsAskedForOnItsOwn() throws Exception {
         try (stage) {
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -21,6 +21,8 @@
     int drainGrace = 2_000;
     /** For how long repeats of a keyed request are dropped. */
     int memory = 4_000;
+    /** Whether lists come on their own. */
+    boolean pushed;
     /** Whether operators have a door. */
     boolean door;
     /** Where the node keeps what must outlast it; null for nowhere. */
@@ -75,7 +77,7 @@
                 {"name":"n0",%s%s"listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
                  "settings":{"position":0,"siblings":1,"tier":0,"stages":["front"],"zone":0,
-                 "zones":["dakar-a"],"machineTypes":["front-mid"],"registryMode":"subscribe",
+                 "zones":["dakar-a"],"machineTypes":["front-mid"],"registryMode":"%s",
                  "familyInfo":{"passesDeadline":true},"callers":{"marksRetry":false},"worthBy":"request",
                  "overShareWorth":0.1,"weightKind":"silent",
                  "stats":{"how":"pull","fields":["queue","eps","latency_ms"]},"tenants":[],
@@ -96,7 +98,7 @@
                   "handshake":0.0,"peer":0.0,"registryMode":0.0}}}
                 """.formatted(door ? "\"admin_addr\":\"127.0.0.1:0\"," : "",
                         stateDir == null ? "" : "\"state_dir\":\"" + stateDir + "\",", discovery.address(),
-                        sockets, roster(41, true, entries), memory, connectTimeout, drainGrace);
+                        sockets, roster(41, true, entries), pushed ? "automatic" : "subscribe", memory, connectTimeout, drainGrace);
     }
 
     /** A new connection of a caller. */
