Take no late call for a crowd's while a later one is served in good time

A bad sign weighs four good ones, so a fifth of bad signs drives the pressure to its top; and once little is taken, few signs come to take it down: 250 ms of each gap count. Ruled out: the processor (0.5 of 0.5 in the starting second only), lists, cold budgets, the draw.

Change: an attempt that is late while one sent after it was served in good time is no sign, as in a crowd all are late; and the pressure goes by itself from the last sign on, as fast as good signs would take it (0.22 a second). Room for it in the module: attempts are put to work in one place, the next try stands where the outcome is, two loops are streams.

Both tests of the module fail without the change.

--- a/src/main/java/cranedeal/ClassRecord.java
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -16,11 +16,14 @@
     double share;
     /** The part of them to refuse at once. */
     double refused;
-    /** The first class of the same placement: the two below are kept there for all of them. */
+    /** The first class of the same placement: the four below are kept there for all of them. */
     ClassRecord leader;
     /** Share of the work asked for that is refused at once, and when it was last moved. */
     double pressure;
     double feltAt;
+    private double easedAt;
+    /** When the latest of the attempts went out that were served in good time. */
+    double fineSentAt = Double.NEGATIVE_INFINITY;
     /** How many times the expected latency only the slowest calls take. */
     double slowRatio;
 
@@ -47,6 +50,7 @@
         refused = before.refused;
         pressure = before.leader.pressure;
         feltAt = before.leader.feltAt;
+        easedAt = before.leader.easedAt;
         slowRatio = before.slowRatio;
     }
 
@@ -61,6 +65,13 @@
         slowRatio += kept * (old.slowRatio() - slowRatio);
     }
 
+    /** Lets the pressure go by a share in a ms since the last sign: thin traffic has few to tell that it may. */
+    double ease(double now, double rate) {
+        pressure = pressure < 1e-3 ? 0 : pressure * Math.exp(rate * (Math.max(easedAt, feltAt) - now));
+        easedAt = now;
+        return pressure;
+    }
+
     boolean sharesPlacement(ClassRecord other) {
         return Objects.equals(type.zones(), other.type.zones())
                 && Objects.equals(type.kinds(), other.type.kinds());
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -195,11 +195,9 @@
         recalled.clear();
         classes = next;
         chooseLeaders();
-        int known = kinds.length;
-        kinds = Arrays.copyOf(kinds, Math.max(known, given.kinds()));
-        for (int i = known; i < kinds.length; i++) {
-            kinds[i] = new Server.Kind(FLEET_GAIN);
-        }
+        Server.Kind[] known = kinds;
+        kinds = new Server.Kind[Math.max(known.length, given.kinds())];
+        Arrays.setAll(kinds, i -> i < known.length ? known[i] : new Server.Kind(FLEET_GAIN));
         if (given.subscribe() && !settings.subscribe()) {
             actions.watch(true);
         }
@@ -234,7 +232,7 @@
         if (toldApart && !request.retry()) {
             earnColdBudget(call, now);
         }
-        if (shed(call)) {
+        if (shed(call, now)) {
             answerUnserved(call, now);
             return;
         }
@@ -268,15 +266,17 @@
         for (Attempt attempt : call.attempts) {
             if (attempt.result == null) {
                 attempt.sentAt = now;
-                attempt.server.out.addLast(attempt);
-                watchForStrain(call, attempt, now);
+                begins(attempt, now);
             }
         }
     }
 
-    private void watchForStrain(Call call, Attempt attempt, double now) {
+    /** Only once it has the whole body, the server has work with it. */
+    private void begins(Attempt attempt, double now) {
+        attempt.server.out.addLast(attempt);
         if (settings.tier() == 0) {
-            actions.setTimer(call.id << 8 | STRAIN_TIMER | attempt.number, now + strainedAfter(call));
+            actions.setTimer(attempt.call.id << 8 | STRAIN_TIMER | attempt.number,
+                    now + strainedAfter(attempt.call));
         }
     }
 
@@ -333,14 +333,15 @@
      * Under overload all would be late, so a part of the work is refused before any is spent on it: only
      * where clients arrive, since further down a refusal wastes what was done above.
      */
-    private boolean shed(Call call) {
+    private boolean shed(Call call, double now) {
         for (ClassRecord c : classes) {
             c.share += FLEET_GAIN * ((c == call.record ? 1 : 0) - c.share);
         }
-        if (call.record.leader.pressure == 0) {
+        ClassRecord leader = call.record.leader;
+        if (leader.ease(now, PRESSURE_DOWN / 1_000) == 0) {
             return false;
         }
-        planShedding(call.record.leader);
+        planShedding(leader);
         return random.nextDouble() < call.record.refused;
     }
 
@@ -422,11 +423,7 @@
 
     /** A server at random in proportion to its weight; null if none has any. */
     private Server drawByWeight() {
-        double total = 0;
-        for (Server server : ready) {
-            total += server.weight;
-        }
-        double point = random.nextDouble() * total;
+        double point = random.nextDouble() * ready.stream().mapToDouble(server -> server.weight).sum();
         Server drawn = null;
         for (Server server : ready) {
             if (server.weight > 0 && point >= 0) {
@@ -564,15 +561,11 @@
         call.worst = Double.MAX_VALUE;
         call.running++;
         if (!call.arriving) {
-            // Until it has the whole body, the server has no work with it.
-            server.out.addLast(attempt);
+            begins(attempt, now);
         }
         if (warmth(server, now) < 1) {
             server.coldBudget -= 1;
         }
-        if (!call.arriving) {
-            watchForStrain(call, attempt, now);
-        }
         actions.send(call.id, server.listed.id(), timeout);
     }
 
@@ -596,8 +589,8 @@
             // Overload is felt when a call becomes overdue: by the time it ends, a crowd has gathered.
             Attempt attempt = call.attempts.get(number - STRAIN_TIMER);
             if (attempt.result == null && !attempt.streaming) {
+                feel(attempt, false, now);
                 attempt.strained = true;
-                feelPressure(call.record.leader, false, now);
             }
         } else if (!call.streaming && call.attempts.size() == number + 1
                 && call.attempts.get(number).result == null
@@ -630,14 +623,11 @@
         }
         learn(attempt, outcome, now);
         boolean counted = attempt.streaming && !call.type.streamed();
-        if (settings.tier() == 0 && !attempt.strained && !counted
-                && outcome.result() != Result.CANCELLED) {
-            boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
-            // What breaks at once tells of a fault, not of a crowd.
-            if (!inGoodTime || outcome.result() == Result.OK || outcome.result() == Result.FULL
-                    || outcome.result() == Result.TIMEOUT) {
-                feelPressure(call.record.leader, outcome.result() == Result.OK && inGoodTime, now);
-            }
+        boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
+        // What breaks at once tells of a fault, not of a crowd.
+        if (!counted && outcome.result() != Result.CANCELLED && (!inGoodTime || outcome.result() == Result.OK
+                || outcome.result() == Result.FULL || outcome.result() == Result.TIMEOUT)) {
+            feel(attempt, outcome.result() == Result.OK && inGoodTime, now);
         }
         if (outcome.result() == Result.OK && attempt.number > 0) {
             // It served where another did not: sick servers, not a jam, and worth as many again.
@@ -646,8 +636,11 @@
         freeConnection(attempt.server, outcome.result(), now);
         if (outcome.closed() || call.done) {
             over(call, now);
+        } else if (call.running == 0 && (outcome.result() == Result.NOT_SENT || extraCalls < 1)) {
+            answerUnserved(call, now);
         } else if (call.running == 0) {
-            tryAgain(call, outcome.result(), now);
+            extraCalls -= 1;
+            dispatch(call, now);
         }
     }
 
@@ -665,16 +658,6 @@
         }
     }
 
-    /** Another attempt if rule, time and budget allow; otherwise the final answer. */
-    private void tryAgain(Call call, Result result, double now) {
-        if (result == Result.NOT_SENT || extraCalls < 1) {
-            answerUnserved(call, now);
-        } else {
-            extraCalls -= 1;
-            dispatch(call, now);
-        }
-    }
-
     /** Rule 1's one final answer: a refusal only where trying again is known to be harmless. */
     private void answerUnserved(Call call, double now) {
         ServiceClass c = call.type;
@@ -728,9 +711,7 @@
                 // A large answer: its work is done, and how long it takes is up to its reader.
                 begun.server.out.remove(begun);
                 begun.server.count(call.record.index, true);
-                if (settings.tier() == 0 && !begun.strained) {
-                    feelPressure(call.record.leader, elapsed < strainedAfter(call), now);
-                }
+                feel(begun, elapsed < strainedAfter(call), now);
             }
         }
     }
@@ -776,6 +757,15 @@
         return (STRAINED + call.type.lateWorth()) * call.type.aim() * Math.max(1, call.size());
     }
 
+    /** In a crowd all are late: one that is late, while another sent after it was not, tells of a fault. */
+    private void feel(Attempt attempt, boolean fine, double now) {
+        ClassRecord leader = attempt.call.record.leader;
+        if (settings.tier() == 0 && !attempt.strained && (fine || attempt.sentAt >= leader.fineSentAt)) {
+            leader.fineSentAt = fine ? Math.max(leader.fineSentAt, attempt.sentAt) : leader.fineSentAt;
+            feelPressure(leader, fine, now);
+        }
+    }
+
     /**
      * Each sign stands for the time since the one before: the level moves as fast where traffic is thin, or
      * where so much is refused that few outcomes come, and does not outlast its cause.
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -459,6 +460,50 @@
         assertTrue(bench.refused.size() < 10, bench.refused.size() + " refused");
     }
 
+    @Test
+    void whatIsLateWhileLaterOnesAreServedWellIsNoSignOfOverload() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3), Sites.server(4));
+        List<Bench.Sent> silent = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            bench.request(i, 0);
+            bench.advance(50);
+            // Every third connection falls silent; the others serve soon.
+            if (bench.isOpen(i) && bench.lastSend().request() == i && i % 3 != 0) {
+                bench.finish(bench.lastSend(), Result.OK);
+            } else if (bench.isOpen(i) && bench.lastSend().request() == i) {
+                silent.add(bench.lastSend());
+            }
+            while (!silent.isEmpty() && bench.now > silent.get(0).at() + Sites.AIM) {
+                bench.finish(silent.remove(0), Result.TIMEOUT);
+            }
+        }
+        assertTrue(bench.refused.size() < 40, bench.refused.size() + " refused");
+    }
+
+    @Test
+    void pressureGoesByItselfWhereThinTrafficBringsNoSigns() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        for (int i = 0; i < 100; i++) {
+            bench.request(i, 0);
+            bench.advance(20);
+        }
+        assertTrue(bench.refused.size() > 50, bench.refused.size() + " refused");
+        List.copyOf(bench.sends).stream().filter(sent -> bench.isOpen(sent.request()))
+                .forEach(sent -> bench.finish(sent, Result.OK));
+        bench.advance(20_000);
+        int before = bench.refused.size();
+        for (int i = 100; i < 104; i++) {
+            bench.request(i, 0);
+            bench.advance(20);
+            if (bench.isOpen(i)) {
+                bench.finish(bench.lastSend(), Result.OK);
+            }
+        }
+        assertEquals(before, bench.refused.size());
+    }
+
     @Test
     void aServerIsSentNoMoreThanItServesInGoodTime() {
         Bench bench = new Bench(Sites.plain().lateWorth(0).build(), 1);
