Show a class's figures also where its name would break their lines

Need: a class may be named 'slide=ct.1', as one of dharan-lab's is; its figure read 'success.slide=ct.1=0', which a reader cuts at the first '='. A line break in a name made two lines of one.

Change: blanks, control characters, '=' and '%' in a class's name stand as in a URL. Other names are as before.

Measured: the test fails without the change.

--- a/src/main/java/cranedeal/node/Figures.java
+++ b/src/main/java/cranedeal/node/Figures.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Collection;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,6 +14,8 @@
  */
 final class Figures {
 
+    /** The one control character that is not below the blank. */
+    private static final int DELETE = 0x7f;
     private static final String PREFIX = "edge_proxy.";
 
     /** How the requests of one class ended. */
@@ -85,9 +88,10 @@
     String text() {
         StringBuilder text = new StringBuilder();
         answers.forEach((name, counts) -> {
-            line(text, "success." + name, counts.success.get());
-            line(text, "overload." + name, counts.overload.get());
-            line(text, "error." + name, counts.error.get());
+            String shown = shown(name);
+            line(text, "success." + shown, counts.success.get());
+            line(text, "overload." + shown, counts.overload.get());
+            line(text, "error." + shown, counts.error.get());
         });
         line(text, "dispatches", dispatches.get());
         line(text, "concurrent", concurrent.get());
@@ -101,6 +105,19 @@
         return text.toString();
     }
 
+    /** A class's name with what would break its line in two written as in a URL: blanks, controls, '=', '%'. */
+    private static String shown(String name) {
+        StringBuilder shown = new StringBuilder();
+        name.codePoints().forEach(c -> {
+            if (c <= ' ' || c == '=' || c == '%' || c == DELETE) {
+                shown.append(String.format(Locale.ROOT, "%%%02X", c));
+            } else {
+                shown.appendCodePoint(c);
+            }
+        });
+        return shown.toString();
+    }
+
     /** Figures of another part, a line each. */
     static String text(Map<String, Long> others) {
         StringBuilder text = new StringBuilder();
--- a/src/test/java/cranedeal/node/FiguresTest.java
+++ b/src/test/java/cranedeal/node/FiguresTest.java
@@ -1,7 +1,9 @@
 package cranedeal.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
@@ -45,6 +47,14 @@
         }
     }
 
+    @Test
+    void aClassWhoseNameWouldBreakItsLineIsShownAllTheSame() {
+        Figures figures = new Figures();
+        figures.show(List.of("slide=ct.1", "50% off\nnow"));
+        assertEquals("edge_proxy.success.50%25%20off%0Anow=0", figures.text().lines().findFirst().orElseThrow());
+        assertTrue(figures.text().contains("edge_proxy.success.slide%3Dct.1=0\n"), figures.text());
+    }
+
     @Test
     void eachWayInWhichARequestEndsIsCountedForItsClass() throws Exception {
         try (Stage stage = new Stage().start()) {
