Count a silence at discovery's new address as the first

Need: whether a watch follows on a silent one was kept over a reload that moves discovery; the first silence at the new address would have waited for the module. Found on reading the change again; no test forces it.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -46,8 +46,7 @@
     static final int WATCH_MS = 3_000;
     /** How long after that an answer may still be under way. */
     static final int LATE_MS = 1_500;
-
-    /** How soon a watch that nobody asks for is opened again after a failure: all that it misses counts as told. */
+    /** How soon a watch that nobody asks for is opened again: all that it misses counts as told. */
     private static final int REOPEN_MS = 100;
 
     /** What the list is told to. */
@@ -122,6 +121,7 @@
             return;
         }
         address = replaced.discovery();
+        anew = false;
         if (kept != null) {
             kept.close();
             kept = null;
