Force a write that can't be whole, and keep a setting's form in the stage

Cause: the test of a request that is not written whole sent 64 KiB, which the kernel takes whole on a loopback connection; it passed only when the reset came before the write, and failed once beside 20 busy processes (RESET for CONNECT_FAILED). Now 16 MiB, which no buffer here takes (4 MiB at most to send), so its end can't be written. The stage wrote memorySpan as a whole number since it can be set, and the bad file without that key was none (RetuneTest, case 12). DrainTest's request that is taken before SIGTERM waits 10 s and not 2, which a busy machine used up before its answer.

--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -91,7 +91,7 @@
             Peer idle = Peer.to(address);
             idle.write(HEALTH);
             assertEquals("keep-alive", idle.read().headers().getOrDefault("connection", "keep-alive"));
-            taken.write(Stage.get("taken", "2"));
+            taken.write(Stage.get("taken", "10"));
             Peer upstream = stage.upstreams.get(0).accept();
             upstream.read();
             process.destroy();
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -85,7 +85,7 @@
                  {"name":"look-up","aim":1000.0,"deadline":2500.0,"worth":1.0,"lateValue":0.5,
                   "idempotency":"idempotent","streamed":false},
                  {"name":"tile-order","aim":1000.0,"deadline":2500.0,"worth":8.0,"lateValue":0.5,
-                  "idempotency":"deduplicated","group":"cell","memorySpan":%d,"streamed":false},
+                  "idempotency":"deduplicated","group":"cell","memorySpan":%d.0,"streamed":false},
                  {"name":"credit-spend","aim":1500.0,"deadline":2500.0,"worth":2.0,"lateValue":0.3,
                   "idempotency":"at_most_once","streamed":false}],
                  "limits":{"attemptsCap":4,"maxOpen":20000,"cancel":true,"parallelTries":true,"probes":true,
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -118,12 +118,18 @@
     @Test
     void aRequestNotWrittenWholeNeverRan() throws Exception {
         try (Stage stage = new Stage()) {
-            // Large bodies that nobody reads fill the buffers between; the last one can't be written.
+            // More than the kernel's buffers take while nobody reads: its end can't be written.
             stage.upstreams.set(0, new Listener(1_024));
             stage.start();
-            String body = "b".repeat(UpstreamClient.MAX_BODY);
             Peer caller = stage.caller();
-            caller.write(Stage.spend("1", body));
+            Thread writing = new Thread(() -> {
+                try {
+                    caller.write(Stage.spend("1", "b".repeat(16 << 20)));
+                } catch (IOException e) {
+                    // The rest is of no more use.
+                }
+            });
+            writing.start();
             Peer upstream = stage.upstreams.get(0).accept();
             upstream.reset();
             assertEquals(Result.CONNECT_FAILED, stage.script.result());
