--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -65,6 +65,8 @@
     /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
     private static final double LONGEST_DRAIN_MS = 3_000;
     private static final double DRAIN_SLACK_MS = 550;
+    /** How long after that the last answers may take to go out and their connections to end in order. */
+    private static final double LAST_WORDS_MS = 100;
     /** How long before that callers are sent away: what comes until then still has time to be served. */
     private static final double SEND_AWAY_MS = 1_200;
 
@@ -221,6 +223,7 @@
     private void begin(Orders kept, LearntFile.Kept learnt) {
         Roster known = new Roster(config.known().version(), true, config.known().members());
         upstreams.update(known);
+        discovery.push(!config.settings().subscribe());
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
         if (learnt != null) {
             tell(null, () -> keeper.recall(learnt, balancer));
@@ -448,15 +451,29 @@
         loop.submit(() -> frontend.beginDrain(HttpResponseStatus.OK)).sync();
         // Those that come late come to the successor, where there is one.
         double idleFrom = succeeded ? sendAway : sendAway + LATE_CONNECTIONS_MS;
+        boolean listens = !succeeded;
         boolean done = false;
         while (!done && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
-            boolean late = clock.now() < idleFrom;
-            done = !late && endDrain();
+            if (clock.now() >= idleFrom) {
+                if (listens) {
+                    // Who waits in the queue of a socket that ends with its process would be reset.
+                    loop.submit(frontend::stopListening).sync();
+                    listens = false;
+                }
+                done = endDrain();
+            }
         }
         // What SIGKILL found unanswered would be lost; a failure is an answer.
-        loop.submit(() -> List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
-                .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT))).sync();
+        loop.submit(() -> {
+            frontend.endAll();
+            List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
+                    .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT));
+        }).sync();
+        while (!done && clock.now() < latest + LAST_WORDS_MS) {
+            Thread.sleep(DRAIN_CHECK_MS);
+            done = endDrain();
+        }
     }
 
     /** Leaves callers to another process, if one serves where this one is to end. */
@@ -525,6 +542,8 @@
         figures.show(replaced.classes());
         upstreams.retune(replaced.settings());
         frontend.retune(replaced);
+        // Before the module, which may begin to ask for itself.
+        discovery.push(!replaced.settings().subscribe());
         tell(null, () -> balancer.retuned(clock.now(), replaced.settings()));
         discovery.retune(replaced);
         LOG.info("goes by a new configuration; discovery is at " + replaced.discovery());
@@ -607,8 +626,9 @@
     /** Takes a request in; the node owns a reference to {@code message} from here on. */
     Exchange request(Function<Long, Request> description, FullHttpRequest message, Exchange.Caller caller) {
         Request request = description.apply(++lastId);
-        Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()), message,
-                request.deadline(), caller, figures);
+        Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()),
+                config.settings().classes().get(request.serviceClass()), message, request.deadline(), caller,
+                figures);
         exchanges.put(exchange.id, exchange);
         exchange.arrivedAt = clock.now();
         if (exchange.upload == null) {
@@ -767,6 +787,11 @@
                 Node.this.finished(exchange, number, upstream, now, result, response);
             }
 
+            @Override
+            public boolean mayBegin() {
+                return exchange.mayBegin(number, clock.now());
+            }
+
             @Override
             public Download begun(UpstreamClient.Attempt attempt, long length) {
                 return Node.this.begun(exchange, number, now, attempt, length);
