--- a/src/main/java/cranedeal/ClassRecord.java
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -65,7 +65,7 @@
         slowRatio += kept * (old.slowRatio() - slowRatio);
     }
 
-    /** Lets the pressure go by a share in a ms since the last sign: thin traffic has few to tell that it may. */
+    /** Lets the pressure go by a share in a ms since the last sign: thin traffic has few that tell. */
     double ease(double now, double rate) {
         pressure = pressure < 1e-3 ? 0 : pressure * Math.exp(rate * (Math.max(easedAt, feltAt) - now));
         easedAt = now;
--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -40,8 +40,8 @@
     /**
      * How long a watch may wait for news. One that has fallen silent looks like one with no news until it is
      * over, and what discovery wrote counts as told 6 s later: it must be over, and time be left to ask
-     * again, before that; so the one after it is opened at once. Going on with a watch costs discovery next to
-     * nothing.
+     * again, before that; so the one after it is opened at once. Going on with a watch costs discovery next
+     * to nothing.
      */
     static final int WATCH_MS = 3_000;
     /** How long after that an answer may still be under way. */
@@ -92,7 +92,7 @@
                 });
     }
 
-    /** Keeps the list as settings want it that have changes come on their own, or leaves that to whoever asks. */
+    /** Keeps the watch open where settings have lists pushed, or leaves that to whoever asks. */
     void push(boolean on) {
         if (on != pushed) {
             pushed = on;
--- a/src/main/java/cranedeal/node/Figures.java
+++ b/src/main/java/cranedeal/node/Figures.java
@@ -105,7 +105,7 @@
         return text.toString();
     }
 
-    /** A class's name with what would break its line in two written as in a URL: blanks, controls, '=', '%'. */
+    /** A class's name; what would break its line is written as in a URL: blanks, controls, '=', '%'. */
     private static String shown(String name) {
         StringBuilder shown = new StringBuilder();
         name.codePoints().forEach(c -> {
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -241,7 +241,7 @@
         health = HttpResponseStatus.OK;
     }
 
-    /** Closes what is idle and tells whether nothing is left and nobody can come, so that the process may end. */
+    /** Closes what is idle; whether nothing is left and nobody can come, so that the process may end. */
     boolean endDrain() {
         if (listening != null) {
             Sockets.readNow(listening);
@@ -577,10 +577,11 @@
         }
 
         /**
-         * Ends the connection in order, as everything does that has no cause to break it off: what is written
-         * goes out, then the sending ends; what still comes is thrown away, and once the caller has ended too,
-         * or has had its time, the connection is closed. To close on bytes that are still coming in would reset
-         * it and could take an answer with it. A request among them was not read, and its caller sends it again.
+         * Ends the connection in order, as everything does that has no cause to break it off: what is
+         * written goes out, then the sending ends; what still comes is thrown away, and once the caller has
+         * ended too, or has had its time, the connection is closed. To close on bytes that still come in
+         * would reset it and could take an answer with it. A request among them was not read, and its caller
+         * sends it again.
          *
          * @param unread ms that it may take to read what was written
          * @param linger ms for which the caller may go on sending after that
--- a/src/test/java/cranedeal/node/ConnectionLifeTest.java
+++ b/src/test/java/cranedeal/node/ConnectionLifeTest.java
@@ -15,10 +15,10 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * A caller's connection under events in any order: requests whole, in halves and ahead of their turn, its end
- * and its reset, a drain that begins and is undone, an upstream that serves, fails, breaks off or says nothing.
- * Whatever the order, each request has its one answer or a connection that ends, and nothing goes on that
- * should not.
+ * A caller's connection under events in any order: requests whole, in halves and ahead of their turn, its
+ * end and its reset, a drain that begins and is undone, an upstream that serves, fails, breaks off or says
+ * nothing. Whatever the order, each request has its one answer or a connection that ends, and nothing goes on
+ * that should not.
  */
 @Timeout(120)
 class ConnectionLifeTest {
--- a/src/test/java/cranedeal/node/FiguresTest.java
+++ b/src/test/java/cranedeal/node/FiguresTest.java
@@ -51,7 +51,8 @@
     void aClassWhoseNameWouldBreakItsLineIsShownAllTheSame() {
         Figures figures = new Figures();
         figures.show(List.of("slide=ct.1", "50% off\nnow"));
-        assertEquals("edge_proxy.success.50%25%20off%0Anow=0", figures.text().lines().findFirst().orElseThrow());
+        assertEquals("edge_proxy.success.50%25%20off%0Anow=0",
+                figures.text().lines().findFirst().orElseThrow());
         assertTrue(figures.text().contains("edge_proxy.success.slide%3Dct.1=0\n"), figures.text());
     }
 
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -98,7 +98,8 @@
                   "handshake":0.0,"peer":0.0,"registryMode":0.0}}}
                 """.formatted(door ? "\"admin_addr\":\"127.0.0.1:0\"," : "",
                         stateDir == null ? "" : "\"state_dir\":\"" + stateDir + "\",", discovery.address(),
-                        sockets, roster(41, true, entries), pushed ? "automatic" : "subscribe", memory, connectTimeout, drainGrace);
+                        sockets, roster(41, true, entries), pushed ? "automatic" : "subscribe", memory,
+                        connectTimeout, drainGrace);
     }
 
     /** A new connection of a caller. */
