--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -141,7 +141,7 @@
     private static final class Target {
         Member member;
         /** When this balancer was told that it wants nothing new; NaN while it does. */
-        double toldOff = Double.NaN;
+        double drainingSince = Double.NaN;
         /** Whether it is in the list, ready or not. */
         boolean listed;
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
@@ -178,9 +178,9 @@
             }
             target.listed = true;
             if (member.upstream().state() == State.READY && !banned.contains(member.upstream().id())) {
-                target.toldOff = Double.NaN;
+                target.drainingSince = Double.NaN;
             } else {
-                tellOff(target, now);
+                startDraining(target, now);
             }
         }
         left.values().forEach(target -> strike(target, now));
@@ -190,23 +190,23 @@
     void ban(long upstream, boolean out) {
         Target target = targets.get(upstream);
         if (out && banned.add(upstream) && target != null) {
-            tellOff(target, clock.now());
+            startDraining(target, clock.now());
         } else if (!out && banned.remove(upstream) && target != null && target.listed
                 && target.member.upstream().state() == State.READY) {
-            target.toldOff = Double.NaN;
+            target.drainingSince = Double.NaN;
         }
     }
 
     private static void strike(Target target, double now) {
         if (target != null) {
             target.listed = false;
-            tellOff(target, now);
+            startDraining(target, now);
         }
     }
 
-    private static void tellOff(Target target, double now) {
-        if (Double.isNaN(target.toldOff)) {
-            target.toldOff = now;
+    private static void startDraining(Target target, double now) {
+        if (Double.isNaN(target.drainingSince)) {
+            target.drainingSince = now;
             target.closeIdle();
         }
     }
@@ -257,7 +257,8 @@
         }
         // Whoever left long ago and holds nothing need not be remembered.
         double grace = settings.rules().drainGrace();
-        targets.values().removeIf(t -> !t.listed && t.toldOff < clock.now() - 2 * grace && t.idle.isEmpty());
+        targets.values().removeIf(target -> !target.listed && target.idle.isEmpty()
+                && target.drainingSince < clock.now() - 2 * grace);
     }
 
     boolean isListed(long upstream) {
@@ -384,7 +385,7 @@
             channel = connection.channel;
             double now = clock.now();
             // NaN compares false: a ready upstream takes anything.
-            boolean drained = now >= target.toldOff + settings.rules().drainGrace();
+            boolean drained = now >= target.drainingSince + settings.rules().drainGrace();
             boolean restarted = !target.isStill(meant);
             if (drained || restarted || now >= until || upload != null && !upload.isRepeatable()
                     || !listener.mayBegin()) {
@@ -616,7 +617,7 @@
             home = target;
             channel.config().setAutoRead(true);
             channel.config().setWriteBufferWaterMark(WriteBufferWaterMark.DEFAULT);
-            if (!Double.isNaN(target.toldOff)) {
+            if (!Double.isNaN(target.drainingSince)) {
                 channel.close();
                 return;
             }
