Say the usual times of a graceful close once, and let a drain run straight

Need, found on reading the change again: five of six callers of shutDown named the same two times; drain() kept a flag of its own for what stopListening guards itself, and two loops of the same shape; endAll set what the drain had set; begin() asked a response for what it had just put there. No change in behaviour.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -176,7 +176,7 @@
                 connection.readNow();
                 if (connection.isOverdue(now)) {
                     if (connection.served && !connection.partial()) {
-                        connection.shutDown(UNREAD_MS, LINGER_MS);
+                        connection.shutDown();
                     } else {
                         // Nothing is owed to whoever sent no whole request but that it is over in time.
                         silent++;
@@ -251,18 +251,16 @@
             connection.readNow();
             // Nor must one be cut off whose request is on its way in; it has its time, like any.
             if (connection.isIdle() && !connection.partial() && !connection.isFresh()) {
-                connection.shutDown(UNREAD_MS, LINGER_MS);
+                connection.shutDown();
             }
         }
         return connections.isEmpty() && deaf && !socket.isOpen();
     }
 
-    /** Nothing that comes from now on is taken; what is at work is to be answered before. */
+    /** At the end of a drain: nothing that comes from now on is taken. */
     void endAll() {
-        draining = true;
-        stopListening();
         List.copyOf(connections).stream().filter(Connection::isIdle)
-                .forEach(connection -> connection.shutDown(UNREAD_MS, LINGER_MS));
+                .forEach(connection -> connection.shutDown());
     }
 
     /** Closes the caller's connection that has been idle for longest, as it may between requests. */
@@ -272,7 +270,7 @@
                 // A request may have come that nobody has read yet.
                 connection.readNow();
                 if (connection.isEvictable()) {
-                    connection.shutDown(UNREAD_MS, LINGER_MS);
+                    connection.shutDown();
                     leaving.addLast(connection);
                     if (leaving.size() > MOST_LEAVING) {
                         leaving.pollFirst().channel.close();
@@ -456,13 +454,12 @@
         @Override
         public void begin(long length, Runnable writable) {
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            framed = length >= 0 || current.protocolVersion().equals(HttpVersion.HTTP_1_1);
             if (length >= 0) {
                 response.headers().set("Content-Length", length);
-            } else if (current.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+            } else if (framed) {
                 HttpUtil.setTransferEncodingChunked(response, true);
-            }
-            framed = length >= 0 || HttpUtil.isTransferEncodingChunked(response);
-            if (!framed) {
+            } else {
                 // The end of the connection ends it, and nothing can come behind that.
                 dropAhead();
                 ended = true;
@@ -506,7 +503,7 @@
             dropAhead();
             drop(current);
             current = null;
-            shutDown(UNREAD_MS, LINGER_MS);
+            shutDown();
         }
 
         private void dropAhead() {
@@ -576,6 +573,11 @@
             }
         }
 
+        /** Ends the connection in order, with the usual times. */
+        void shutDown() {
+            shutDown(UNREAD_MS, LINGER_MS);
+        }
+
         /**
          * Ends the connection in order, as everything does that has no cause to break it off: what is
          * written goes out, then the sending ends; what still comes is thrown away, and once the caller has
@@ -586,7 +588,7 @@
          * @param unread ms that it may take to read what was written
          * @param linger ms for which the caller may go on sending after that
          */
-        void shutDown(long unread, long linger) {
+        private void shutDown(long unread, long linger) {
             ended = true;
             closing = true;
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -451,29 +451,31 @@
         loop.submit(() -> frontend.beginDrain(HttpResponseStatus.OK)).sync();
         // Those that come late come to the successor, where there is one.
         double idleFrom = succeeded ? sendAway : sendAway + LATE_CONNECTIONS_MS;
-        boolean listens = !succeeded;
-        boolean done = false;
-        while (!done && clock.now() < latest) {
+        while (clock.now() < idleFrom) {
             Thread.sleep(DRAIN_CHECK_MS);
-            if (clock.now() >= idleFrom) {
-                if (listens) {
-                    // Who waits in the queue of a socket that ends with its process would be reset.
-                    loop.submit(frontend::stopListening).sync();
-                    listens = false;
-                }
-                done = endDrain();
-            }
         }
+        // Who waits in the queue of a socket that ends with its process would be reset.
+        loop.submit(frontend::stopListening).sync();
+        boolean done = awaitEnd(latest);
         // What SIGKILL found unanswered would be lost; a failure is an answer.
         loop.submit(() -> {
             frontend.endAll();
             List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
                     .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT));
         }).sync();
-        while (!done && clock.now() < latest + LAST_WORDS_MS) {
+        if (!done) {
+            awaitEnd(latest + LAST_WORDS_MS);
+        }
+    }
+
+    /** Closes what becomes idle until nothing is left or the time has come; whether nothing is left. */
+    private boolean awaitEnd(double latest) throws InterruptedException {
+        boolean done = false;
+        while (!done && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
             done = endDrain();
         }
+        return done;
     }
 
     /** Leaves callers to another process, if one serves where this one is to end. */
