Share what tests of the node had written again

Need: ConnectionLifeTest played its upstream with the same threads as Rehearsal, which Listener does for both now; the front's question stood in six places, and asking it so that the node has read what came before in three, where Stage.settle does. Every assertion stays.

--- a/src/test/java/cranedeal/node/ConnectionLifeTest.java
+++ b/src/test/java/cranedeal/node/ConnectionLifeTest.java
@@ -31,23 +31,6 @@
         final Queue<Peer> silent = new ConcurrentLinkedQueue<>();
         final Queue<String> seen = new ConcurrentLinkedQueue<>();
 
-        Upstream(Listener listener) {
-            Thread acceptor = new Thread(() -> {
-                try {
-                    while (true) {
-                        Peer peer = listener.accept();
-                        Thread worker = new Thread(() -> serve(peer));
-                        worker.setDaemon(true);
-                        worker.start();
-                    }
-                } catch (InterruptedException | AssertionError e) {
-                    // Nobody calls any more.
-                }
-            });
-            acceptor.setDaemon(true);
-            acceptor.start();
-        }
-
         /** What it does with a request stands in the request's id. */
         private void serve(Peer peer) {
             try {
@@ -91,7 +74,8 @@
     private static void play(Random random) throws Exception {
         try (Stage stage = new Stage()) {
             stage.door = true;
-            Upstream upstream = new Upstream(stage.upstreams.get(0));
+            Upstream upstream = new Upstream();
+            stage.upstreams.get(0).each(upstream::serve);
             stage.start();
             Peer caller = stage.caller();
             Queue<String> sent = new ArrayDeque<>();
--- a/src/test/java/cranedeal/node/DoorTest.java
+++ b/src/test/java/cranedeal/node/DoorTest.java
@@ -16,8 +16,6 @@
 @Timeout(60)
 class DoorTest {
 
-    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
-
     private static Stage stage() throws Exception {
         Stage stage = new Stage();
         stage.door = true;
@@ -26,7 +24,7 @@
 
     private static int health(Stage stage) throws Exception {
         Peer front = stage.caller();
-        front.write(HEALTH);
+        front.write(Stage.HEALTH);
         return front.read().status();
     }
 
@@ -112,10 +110,10 @@
             stage.script.onRequest = request -> stage.script.actions.refuse(request.id(), 0);
             for (int round = 0; round < 2; round++) {
                 Peer idle = stage.caller();
-                idle.write(HEALTH);
+                idle.write(Stage.HEALTH);
                 assertEquals(200, idle.read().status());
                 Peer kept = stage.caller();
-                kept.write(HEALTH);
+                kept.write(Stage.HEALTH);
                 assertEquals(200, kept.read().status());
                 assertEquals(200, stage.order("PUT", "/ops/drain/start"));
                 assertEquals(200, stage.order("PUT", "/ops/drain/start"));
@@ -131,7 +129,7 @@
                 assertEquals(200, stage.order("GET", "/ops/readiness"));
                 assertEquals(200, health(stage));
                 Peer again = stage.caller();
-                again.write(HEALTH);
+                again.write(Stage.HEALTH);
                 assertNull(again.read().header("Connection"));
             }
         }
@@ -176,13 +174,13 @@
             // Cut within the first line, behind it, and within the head.
             for (int cut : new int[] {3, request.indexOf("\r\n") + 2, request.length() - 5}) {
                 Peer caller = stage.caller();
-                caller.write(HEALTH);
+                caller.write(Stage.HEALTH);
                 assertEquals(200, caller.read().status());
                 caller.write(request.substring(0, cut));
                 callers.add(caller);
             }
             Peer idle = stage.caller();
-            idle.write(HEALTH);
+            idle.write(Stage.HEALTH);
             assertEquals(200, idle.read().status());
             assertEquals(200, stage.order("PUT", "/ops/drain/start"));
             assertTrue(idle.ended());
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -18,8 +18,6 @@
 @Timeout(120)
 class DrainTest {
 
-    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
-
     static Process start(Path config, String... arguments) throws IOException {
         return start(null, config, arguments);
     }
@@ -89,7 +87,7 @@
             InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
             Peer taken = Peer.toServing(address, process);
             Peer idle = Peer.to(address);
-            idle.write(HEALTH);
+            idle.write(Stage.HEALTH);
             assertEquals("keep-alive", idle.read().headers().getOrDefault("connection", "keep-alive"));
             taken.write(Stage.get("taken", "10"));
             Peer upstream = stage.upstreams.get(0).accept();
@@ -101,7 +99,7 @@
                 // Until callers are sent away, answers keep the connection. Were it left open, so many would
                 // come that the idle one had to go.
                 try (Peer caller = Peer.to(address)) {
-                    caller.write(HEALTH);
+                    caller.write(Stage.HEALTH);
                     late = caller.read();
                     assertEquals(200, late.status());
                 }
@@ -142,7 +140,7 @@
     void aDrainDoesNotCloseAConnectionWithARequestInIt() throws Exception {
         try (Stage stage = new Stage().start()) {
             Peer caller = stage.caller();
-            caller.write(HEALTH);
+            caller.write(Stage.HEALTH);
             caller.read();
             caller.write(Stage.get("1", "10"));
             // The request lies in the kernel or is at work; either way it must not be lost.
@@ -179,7 +177,7 @@
             }
             assertEquals("GET /catalog/members?index=45&wait=3000 HTTP/1.1", moved.accept().read().first());
             assertTrue(before.ended());
-            caller.write(HEALTH);
+            caller.write(Stage.HEALTH);
             assertEquals(200, caller.read().status());
         } finally {
             if (process != null) {
@@ -193,7 +191,7 @@
     void aDrainServesOnBeforeItSendsItsCallersAway() throws Exception {
         try (Stage stage = new Stage().start()) {
             Peer caller = stage.caller();
-            caller.write(HEALTH);
+            caller.write(Stage.HEALTH);
             caller.read();
             Thread drain = new Thread(() -> {
                 try {
@@ -208,7 +206,7 @@
             int kept = 0;
             Peer.Message answer = null;
             while (answer == null || answer.header("Connection") == null) {
-                caller.write(HEALTH);
+                caller.write(Stage.HEALTH);
                 answer = caller.read();
                 kept++;
             }
@@ -222,14 +220,12 @@
     void aDrainWaitsForARequestThatIsOnItsWayIn() throws Exception {
         try (Stage stage = new Stage().start()) {
             Peer caller = stage.caller();
-            caller.write(HEALTH);
+            caller.write(Stage.HEALTH);
             caller.read();
             String request = Stage.spend("1", "body");
             caller.write(request.substring(0, request.length() - 2));
             // What the caller wrote before has been read once this one, on the same thread, has its answer.
-            Peer other = stage.caller();
-            other.write(HEALTH);
-            other.read();
+            stage.settle();
             assertFalse(stage.node.endDrain());
             caller.write(request.substring(request.length() - 2));
             Peer upstream = stage.upstreams.get(0).accept();
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -17,13 +17,11 @@
 @Timeout(60)
 class FrontendTest {
 
-    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
-
     @Test
     void itIsHealthyOnceItListens() throws Exception {
         try (Stage stage = new Stage().start()) {
             Peer caller = stage.caller();
-            caller.write(HEALTH);
+            caller.write(Stage.HEALTH);
             assertEquals(200, caller.read().status());
         }
     }
@@ -116,7 +114,7 @@
             Peer caller = stage.caller();
             caller.write(Stage.get("1", "10"));
             assertEquals(502, caller.read().status());
-            caller.write(HEALTH);
+            caller.write(Stage.HEALTH);
             assertEquals(200, caller.read().status());
         }
     }
@@ -125,7 +123,7 @@
     void requestsSentAheadAreAnsweredInTheirOrder() throws Exception {
         try (Stage stage = new Stage().start()) {
             Peer caller = stage.caller();
-            caller.write(Stage.get("1", "10") + Stage.get("2", "10") + HEALTH);
+            caller.write(Stage.get("1", "10") + Stage.get("2", "10") + Stage.HEALTH);
             Peer upstream = stage.upstreams.get(0).accept();
             assertEquals("1", upstream.read().header("X-Txn"));
             upstream.write(Stage.ok("first"));
@@ -305,7 +303,7 @@
     void aRequestThatComesInPartOnAConnectionThatWasServedIsNotWaitedFor() throws Exception {
         try (Stage stage = new Stage().start()) {
             Peer caller = stage.caller();
-            caller.write(HEALTH);
+            caller.write(Stage.HEALTH);
             assertEquals(200, caller.read().status());
             caller.write("POST /credit-spend HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
             assertTrue(caller.ended());
@@ -334,7 +332,7 @@
             Peer caller = null;
             for (int i = 0; i < 10; i++) {
                 caller = stage.caller();
-                caller.write(HEALTH);
+                caller.write(Stage.HEALTH);
                 assertEquals(200, caller.read().status());
             }
             caller.write(Stage.get("1", "10"));
@@ -355,7 +353,7 @@
             socket.setReceiveBufferSize(32_768);
             socket.connect(stage.node.address());
             Peer caller = new Peer(socket);
-            String requests = HEALTH.repeat(many);
+            String requests = Stage.HEALTH.repeat(many);
             try {
                 for (int i = 0; i < rounds; i++) {
                     caller.write(requests);
--- a/src/test/java/cranedeal/node/Listener.java
+++ b/src/test/java/cranedeal/node/Listener.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** Listens on a port of its own and hands each connection to the test, which plays the server. */
 final class Listener implements AutoCloseable {
@@ -50,6 +51,24 @@
         return peer;
     }
 
+    /** From now on hands each connection to {@code server} on a thread of its own, until the test is over. */
+    void each(Consumer<Peer> server) {
+        Thread acceptor = new Thread(() -> {
+            try {
+                while (true) {
+                    Peer peer = accept();
+                    Thread worker = new Thread(() -> server.accept(peer));
+                    worker.setDaemon(true);
+                    worker.start();
+                }
+            } catch (InterruptedException | AssertionError e) {
+                // Nobody calls any more.
+            }
+        });
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
     /** How many connections have come that the test has not looked at. */
     int waiting() {
         return accepted.size();
--- a/src/test/java/cranedeal/node/Peer.java
+++ b/src/test/java/cranedeal/node/Peer.java
@@ -46,7 +46,7 @@
         while (true) {
             try {
                 Peer peer = to(address);
-                peer.write("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+                peer.write(Stage.HEALTH);
                 if (peer.read().status() != 200) {
                     throw new AssertionError("not healthy");
                 }
--- a/src/test/java/cranedeal/node/Rehearsal.java
+++ b/src/test/java/cranedeal/node/Rehearsal.java
@@ -24,9 +24,9 @@
         Process process = null;
         try (Stage stage = new Stage(2)) {
             for (Listener upstream : stage.upstreams) {
-                serve(upstream, Stage.ok("served"));
+                upstream.each(peer -> answer(peer, Stage.ok("served")));
             }
-            serve(stage.discovery, Stage.ok(Stage.roster(42, false)));
+            stage.discovery.each(peer -> answer(peer, Stage.ok(Stage.roster(42, false))));
             int port;
             try (ServerSocket free = new ServerSocket(0)) {
                 port = free.getLocalPort();
@@ -52,23 +52,6 @@
     }
 
     /** Answers whatever comes with the same text. */
-    private static void serve(Listener listener, String answer) {
-        Thread acceptor = new Thread(() -> {
-            try {
-                while (true) {
-                    Peer peer = listener.accept();
-                    Thread worker = new Thread(() -> answer(peer, answer));
-                    worker.setDaemon(true);
-                    worker.start();
-                }
-            } catch (InterruptedException | AssertionError e) {
-                // Nobody calls any more.
-            }
-        });
-        acceptor.setDaemon(true);
-        acceptor.start();
-    }
-
     private static void answer(Peer peer, String answer) {
         try (peer) {
             while (peer.read() != null) {
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -11,6 +11,9 @@
 /** A node on loopback addresses between listeners that the test plays upstreams and discovery on. */
 final class Stage implements AutoCloseable {
 
+    /** What the front asks. */
+    static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+
     final Script script = new Script();
     final Listener discovery = new Listener();
     final List<Listener> upstreams = new ArrayList<>();
@@ -124,7 +127,7 @@
     /** Waits until the node has read all that callers have written to it so far. */
     void settle() throws IOException {
         Peer other = caller();
-        other.write("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+        other.write(HEALTH);
         other.read();
     }
 
--- a/src/test/java/cranedeal/node/UpgradeTest.java
+++ b/src/test/java/cranedeal/node/UpgradeTest.java
@@ -25,8 +25,6 @@
 @Timeout(120)
 class UpgradeTest {
 
-    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
-
     @TempDir
     private Path folder;
     private Stage stage;
@@ -178,7 +176,7 @@
 
     private Peer caller() throws IOException {
         Peer caller = Peer.to(address);
-        caller.write(HEALTH);
+        caller.write(Stage.HEALTH);
         assertEquals(200, caller.read().status());
         return caller;
     }
@@ -240,7 +238,7 @@
         int served = 0;
         while (answer == null || answer.header("Connection") == null) {
             caller().close();
-            kept.write(HEALTH);
+            kept.write(Stage.HEALTH);
             answer = kept.read();
             served++;
         }
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -284,9 +284,7 @@
             Peer caller = stage.caller();
             caller.write(Stage.spend("1", "x"));
             // The node has the request once it has answered what came after it on its one thread.
-            Peer other = stage.caller();
-            other.write("GET /_health HTTP/1.1\r\n\r\n");
-            other.read();
+            stage.settle();
             watch.read();
             watch.write(Stage.ok(Stage.roster(43, false, Stage.entry(9, full.address(), "draining"))));
             assertEquals(Change.DELTA, Script.next(stage.script.changes));
