Look whether a caller has left before an attempt is begun for it

Seen in trials with traces: the loop of a balancer is held up for hundreds of ms, and of what has come in meanwhile a request is read and sent on before the end of its connection is read (Frontend.channelRead0); a further attempt, or one whose connection has come up, asks nobody whether its caller is still there (Exchange.mayBegin). The decisions were ruled out: they begin nothing after they are told.

Change: a request is handled once the reading of that round is over, and after its connection is read again; an attempt reads its caller's connection first if the caller was last seen over 10 ms ago. Bodies that come on their own are as before. A second request that was sent ahead finds the connection that the first one's answer has freed by then, so two tests that expected a new one now expect that it is the same one, and no other.

LateLookTest holds the loop up while callers leave; both cases were seen to fail without the change.

--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -15,6 +15,9 @@
     /** Who waits for the answer. It is told it whole, or in pieces between {@code begin} and an end. */
     interface Caller extends Download {
 
+        /** Whether it still waits, by what its connection says at this moment; not from within its reads. */
+        boolean isThere();
+
         /**
          * Writes the answer; called once at most. The body is not to be kept; {@code retryAfter} in ms is
          * when to come back, 0 for no advice.
@@ -36,6 +39,9 @@
         void abort();
     }
 
+    /** For how many ms it is taken for granted that a caller is still there. */
+    private static final double SURELY_THERE_MS = 10;
+
     final long id;
     /** Its class's name as the configuration has it, and the class by the settings of its arrival. */
     private final String className;
@@ -53,10 +59,12 @@
     /** When its body was there; NaN while that is on its way. */
     double arrivedAt;
     private Caller caller;
+    /** When it was last known that the caller was there, in ms of the clock. */
+    private double seenAt;
     private boolean begun;
 
     Exchange(long id, String className, ServiceClass serviceClass, FullHttpRequest request, double deadline,
-            Caller caller, Figures figures) {
+            Caller caller, double now, Figures figures) {
         this.id = id;
         this.className = className;
         this.serviceClass = serviceClass;
@@ -65,6 +73,7 @@
         upload = request instanceof LargeRequest large ? large.upload : null;
         this.deadline = deadline;
         this.caller = caller;
+        seenAt = now;
         figures.taken();
     }
 
@@ -82,7 +91,7 @@
      * waits, and where repeats are dropped for a while, only for that long after another may have run.
      */
     boolean mayBegin(int number, double now) {
-        if (!isOpen()) {
+        if (!isOpen() || !isCallerThere(now)) {
             return false;
         }
         if (serviceClass.repeat() != Repeat.DEDUPLICATED) {
@@ -97,6 +106,18 @@
         return true;
     }
 
+    /**
+     * Whether the caller has not left while this process was busy elsewhere. Who sends a body that comes on
+     * its own is not asked: its connection is being read, or reading it is to wait.
+     */
+    private boolean isCallerThere(double now) {
+        if (upload != null || now <= seenAt + SURELY_THERE_MS) {
+            return true;
+        }
+        seenAt = now;
+        return caller.isThere();
+    }
+
     /** Answers unless that is done already or nobody waits any more; breaks off an answer that has begun. */
     void answer(HttpResponseStatus status, ByteBuf body, double retryAfter) {
         Caller waiting = caller;
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -411,15 +411,57 @@
                     || !isGet(request) && !isPost(request)
                     || ahead.size() == MAX_AHEAD - 1 || !channel.isWritable();
             if (current == null) {
-                handle(request.retain());
+                take(request.retain());
             } else {
                 ahead.addLast(request.retain());
             }
         }
 
-        private void handle(FullHttpRequest request) {
+        /**
+         * Handles a request once it is known that its caller has not left behind it. Where this process was
+         * late to read it, the end of its connection may have come with it, and would be seen only after it
+         * was sent on; so what the kernel holds is read first, and not from within a read.
+         */
+        private void take(FullHttpRequest request) {
             current = request;
             exchange = null;
+            if (request instanceof LargeRequest) {
+                // Its body goes on to come, and has to have its owner by then.
+                handle(request);
+                return;
+            }
+            loop.execute(() -> {
+                if (current == request && isThere()) {
+                    handle(request);
+                }
+            });
+        }
+
+        @Override
+        public boolean isThere() {
+            readNow();
+            if (!channel.isActive()) {
+                // The loop hears of its end only later.
+                leave();
+            }
+            return channel.isActive();
+        }
+
+        /** Ends what is under way for a caller that has left. */
+        private void leave() {
+            dropAhead();
+            Exchange left = exchange;
+            exchange = null;
+            if (current != null) {
+                drop(current);
+                current = null;
+            }
+            if (left != null) {
+                node.clientGone(left);
+            }
+        }
+
+        private void handle(FullHttpRequest request) {
             if (!request.decoderResult().isSuccess()) {
                 reject(status(request.decoderResult().cause()), "malformed HTTP");
                 return;
@@ -569,7 +611,7 @@
             }
             FullHttpRequest next = ahead.pollFirst();
             if (next != null) {
-                handle(next);
+                take(next);
             }
         }
 
@@ -604,16 +646,7 @@
             leaving.remove(this);
             listening.config().setAutoRead(true);
             drained = null;
-            dropAhead();
-            Exchange left = exchange;
-            exchange = null;
-            if (current != null) {
-                drop(current);
-                current = null;
-            }
-            if (left != null) {
-                node.clientGone(left);
-            }
+            leave();
             ctx.fireChannelInactive();
         }
 
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -630,7 +630,7 @@
         Request request = description.apply(++lastId);
         Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()),
                 config.settings().classes().get(request.serviceClass()), message, request.deadline(), caller,
-                figures);
+                clock.now(), figures);
         exchanges.put(exchange.id, exchange);
         exchange.arrivedAt = clock.now();
         if (exchange.upload == null) {
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -389,7 +389,8 @@
             boolean restarted = !target.isStill(meant);
             if (drained || restarted || now >= until || upload != null && !upload.isRepeatable()
                     || !listener.mayBegin()) {
-                if (restarted) {
+                // It may have been called off by that question, with its connection.
+                if (restarted || over) {
                     channel.close();
                 } else {
                     connection.park(target);
