--- /dev/null
+++ b/src/main/java/cranedeal/lab/slope/SlopeReport.java
@@ -0,0 +1,175 @@
+package cranedeal.lab.slope;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.awt.Color;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/**
+ * What one study measured: a file in JSON whose keys pages refer to, a plot, and a table for a terminal.
+ * Holds the series in the order in which they were added.
+ */
+public final class SlopeReport {
+
+    private static final JsonMapper JSON = new JsonMapper();
+    private static final int WIDTH = 1_000;
+    private static final int HEIGHT = 600;
+
+    private final String study;
+    private final String command;
+    private final String size;
+    private final Machine machine;
+    private final Map<String, Object> setup = new LinkedHashMap<>();
+    private final Map<String, Series> series = new LinkedHashMap<>();
+
+    /** One slope: what is measured, in which unit, and how. */
+    private record Series(String unit, Basis basis, List<Point> points, Line.Fit fit) { }
+
+    /** On what a figure rests. */
+    public enum Basis {
+        /** Clock, processor or sockets of a real machine. */
+        MEASURED,
+        /** The program's own code in virtual time: counts are exact for the seeds that were played. */
+        SIMULATED,
+        /** Worked out from other figures. */
+        RECKONED
+    }
+
+    /**
+     * A report without series.
+     *
+     * @param study its name, as the command has it
+     * @param command what to type after the program to have it measured again
+     * @param size what the sizes count, such as {@code members}
+     */
+    public SlopeReport(String study, String command, String size) {
+        this.study = study;
+        this.command = command;
+        this.size = size;
+        machine = Machine.here();
+    }
+
+    /** Tells something of how it was measured: a number, a text or a list of numbers. */
+    public SlopeReport with(String name, Object value) {
+        setup.put(name, value);
+        return this;
+    }
+
+    /**
+     * Adds a series. Names are of letters, digits and hyphens. Throws {@link IllegalArgumentException} for
+     * another name, for one that is there, and for points through which no line can be drawn.
+     */
+    public SlopeReport add(String name, String unit, Basis basis, List<Point> points) {
+        if (!name.matches("[a-z0-9.-]+") || series.containsKey(name)) {
+            throw new IllegalArgumentException("no name for a series, or there already: " + name);
+        }
+        series.put(name, new Series(unit, basis, List.copyOf(points), Line.fit(points)));
+        return this;
+    }
+
+    /** The line of a series. */
+    public Line.Fit fit(String name) {
+        return series.get(name).fit();
+    }
+
+    /** All of it. */
+    public ObjectNode json() {
+        ObjectNode root = JSON.createObjectNode().put("study", study).put("command", command)
+                .put("size", size);
+        ObjectNode on = root.putObject("machine").put("processor", machine.processor())
+                .put("cores", machine.cores()).put("memory_mb", machine.memoryMb())
+                .put("system", machine.system()).put("java", machine.java()).put("load", machine.load());
+        on.set("flags", JSON.valueToTree(machine.flags()));
+        root.set("setup", JSON.valueToTree(setup));
+        ObjectNode all = root.putObject("series");
+        series.forEach((name, one) -> write(one, all.putObject(name)));
+        return root;
+    }
+
+    private void write(Series one, ObjectNode to) {
+        to.put("unit", one.unit()).put("basis", one.basis().name().toLowerCase(Locale.ROOT));
+        ObjectNode points = to.putObject("points");
+        for (Point point : one.points()) {
+            ObjectNode at = points.putObject(plain(point.size())).put("median", point.median())
+                    .put("least", point.least()).put("most", point.most());
+            ArrayNode values = at.putArray("values");
+            point.values().forEach(values::add);
+        }
+        write(one.fit().whole(), one.unit(), to.putObject("fit"));
+        to.put("straight", one.fit().isStraight());
+        if (!one.fit().isStraight()) {
+            to.put("cut_straight", one.fit().isCutStraight());
+            ArrayNode pieces = to.putArray("pieces");
+            one.fit().pieces().forEach(piece -> write(piece, one.unit(), pieces.addObject()));
+        }
+    }
+
+    private void write(Line line, String unit, ObjectNode to) {
+        to.put("slope", line.slope()).put("slope_unit", unit + " per " + size)
+                .put("intercept", line.intercept()).put("residual", line.residual())
+                .put("worst", line.worst()).put("from", line.from()).put("to", line.to())
+                .put("sizes", line.sizes());
+    }
+
+    private static String plain(double size) {
+        return size == Math.rint(size) ? Long.toString((long) size) : Double.toString(size);
+    }
+
+    /** Writes the file in JSON. */
+    public void writeJson(Path file) throws IOException {
+        Files.writeString(file, JSON.writerWithDefaultPrettyPrinter().writeValueAsString(json()) + "\n");
+    }
+
+    /** Draws all series over the size, with the medians as marks and the lines between; PNG. */
+    public void writePlot(Path file) throws IOException {
+        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(study).xAxisTitle(size)
+                .yAxisTitle(String.join(", ", series.values().stream().map(Series::unit).distinct().toList()))
+                .build();
+        chart.getStyler().setChartBackgroundColor(Color.WHITE);
+        chart.getStyler().setXAxisMin(0.0);
+        series.forEach((name, one) -> {
+            chart.addSeries(name, one.points().stream().map(Point::size).toList(),
+                    one.points().stream().map(Point::median).toList()).setLineStyle(
+                            org.knowm.xchart.style.lines.SeriesLines.NONE);
+            int number = 0;
+            for (Line piece : one.fit().pieces()) {
+                chart.addSeries(name + (number == 0 ? ", fit" : ", fit " + number),
+                        List.of(piece.from(), piece.to()), List.of(piece.at(piece.from()),
+                                piece.at(piece.to()))).setMarker(SeriesMarkers.NONE).setShowInLegend(false);
+                number++;
+            }
+        });
+        Files.write(file, BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG));
+    }
+
+    /** A table of it, for a terminal. */
+    public String text() {
+        List<String> lines = new ArrayList<>();
+        series.forEach((name, one) -> {
+            lines.add(String.format(Locale.ROOT, "%s, %s (%s)", name, one.unit(),
+                    one.basis().name().toLowerCase(Locale.ROOT)));
+            one.points().forEach(point -> lines.add(String.format(Locale.ROOT,
+                    "  %10s %-8s %12.6g  (%.6g to %.6g, %d runs)", plain(point.size()), size, point.median(),
+                    point.least(), point.most(), point.values().size())));
+            for (Line piece : one.fit().pieces()) {
+                lines.add(String.format(Locale.ROOT, "  %s from %s to %s: %.4g + %.4g each; residual %.3g,"
+                        + " worst %.1f%%", one.fit().isStraight() ? "line" : "not straight; piece",
+                        plain(piece.from()), plain(piece.to()), piece.intercept(), piece.slope(),
+                        piece.residual(), 100 * piece.worst()));
+            }
+        });
+        return String.join("\n", lines) + "\n";
+    }
+}
--- a/src/main/java/cranedeal/lab/swarm/Swarm.java
+++ b/src/main/java/cranedeal/lab/swarm/Swarm.java
@@ -28,7 +28,7 @@
     private static final int HOSTS = 250;
     /** How long a full exchange takes. */
     private static final double SYNC_MS = 3;
-    /** One of so many datagrams is encoded, to see how large they are. */
+    /** Encoding all datagrams would take longer than all the rest. */
     private static final int SAMPLE = 16;
     /** How long a process that goes on takes to see what came for it. */
     private static final double WAKING_MS = 0.01;
@@ -49,6 +49,8 @@
     private Network network;
     /** Whether a datagram from the first may reach the second. */
     private BiPredicate<Integer, Integer> open = (from, to) -> true;
+    /** One of so many datagrams is encoded, to see how large they are. */
+    private int sample = SAMPLE;
     private double now;
     private long count;
     private int wrongedHealthy;
@@ -144,8 +146,8 @@
         @Override
         public void send(InetSocketAddress to, Message message) {
             messages++;
-            if (messages % SAMPLE == 0) {
-                bytes += SAMPLE * (long) message.size(FLEET);
+            if (messages % sample == 0) {
+                bytes += sample * (long) message.size(FLEET);
             }
             Node target = byAddress.get(to);
             int copies = random.nextDouble() < network.loss() ? 0
@@ -214,6 +216,11 @@
         events.add(new Event(Math.max(at, now), count++, node, node.process, source, message, task));
     }
 
+    /** From now on the size of every datagram counts, not that of a sample: what a member sends in a second. */
+    public void countAll() {
+        sample = 1;
+    }
+
     // ---- What is done to it ------------------------------------------------------------------------
 
     /** Adds members that all know one another from the start, slow ones among them as the network says. */
@@ -368,11 +375,16 @@
         return wronged.size();
     }
 
-    /** How many bytes all members have sent in datagrams, by a sample of them. */
+    /** How many bytes all members have sent in datagrams, by a sample of them or all. */
     public long bytes() {
         return nodes.stream().mapToLong(node -> node.bytes).sum();
     }
 
+    /** How many bytes a member has sent in datagrams, over all its processes. */
+    public long bytes(int member) {
+        return nodes.get(member).bytes;
+    }
+
     /** How many datagrams all members have sent. */
     public long messages() {
         return nodes.stream().mapToLong(node -> node.messages).sum();
