Take answers that have come before timers and new callers say that upstreams are late

In a plain probe (one balancer, 25 idle upstreams that answer at once, 700 calls a second) requests were refused with Retry-After. One of them, traced: X-Txn 0a50 was read and sent at 11.604 s; the loop told the module nothing from 11.610 to 11.621, and went on with timers: the attempt was given up at 11.623 as timed out, 19.5 ms old, and so were its neighbours, 7.5 to 23.7 ms old. The first three took all further attempts that were saved up, so this one was refused at 11.625 with 1.98 s left to its client; and as time-outs are signs of overload, another was refused 72 ms later.

Netty handles what a select has found, then all timers that are due, then looks again: whatever arrives while the loop is late lies unread as its timers fire. At fault were UpstreamClient's expire and Node's setTimer, which went by a time without a look. Now both read what the attempt's connection holds first.

LateLoopTest holds the loop until an answer lies unread and a time is over. Its three tests were seen to fail, each without its part of the change: a time-out for the answer, the timer first, the request first.

--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -627,6 +627,7 @@
 
     /** Takes a request in; the node owns a reference to {@code message} from here on. */
     Exchange request(Function<Long, Request> description, FullHttpRequest message, Exchange.Caller caller) {
+        upstreams.readAnswers();
         Request request = description.apply(++lastId);
         Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()),
                 config.settings().classes().get(request.serviceClass()), message, request.deadline(), caller,
@@ -828,6 +829,12 @@
         }
     }
 
+    private static void readNow(UpstreamClient.Attempt attempt) {
+        if (attempt != null) {
+            attempt.readNow();
+        }
+    }
+
     private static void cancel(UpstreamClient.Attempt attempt) {
         if (attempt != null) {
             attempt.cancel();
@@ -865,8 +872,13 @@
     @Override
     public void setTimer(long token, double at) {
         Exchange about = subject;
-        loop.schedule(() -> tell(about, () -> balancer.timer(clock.now(), token)), clock.nanosUntil(at),
-                TimeUnit.NANOSECONDS);
+        loop.schedule(() -> {
+            // What has come by now must not look overdue only because this loop is late.
+            for (int i = 0; about != null && i < about.attempts.size(); i++) {
+                readNow(about.attempts.get(i));
+            }
+            tell(about, () -> balancer.timer(clock.now(), token));
+        }, clock.nanosUntil(at), TimeUnit.NANOSECONDS);
     }
 
     /** Balancers of this deployment have no way to talk to each other. */
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -39,6 +39,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -61,6 +62,9 @@
     /** How long nothing may move of a large body or answer before its attempt is over. */
     static final double STALL_MS = 10_000;
     private static final int MILLI = 3;
+    /** How old what is known of answers may be where that is cheap to better, and how many are looked for. */
+    private static final double LOOK_EVERY_MS = 5;
+    private static final int MOST_LOOKED_FOR = 64;
     /** What a caller says of its own connection is not for the next. */
     private static final List<String> HOP_BY_HOP = List.of("Connection", "Keep-Alive", "Proxy-Connection",
             "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect");
@@ -98,6 +102,9 @@
     private final Set<Long> banned = new HashSet<>();
     /** The attempts that move a large body or answer. */
     private final Set<Attempt> moving = new HashSet<>();
+    /** The attempts whose requests are out whole, those first whose answers were looked for longest ago. */
+    private final Set<Attempt> awaited = new LinkedHashSet<>();
+    private double lookedAt = Double.NEGATIVE_INFINITY;
     /** How long connections may have been idle for another use, as resets have taught; and when they did. */
     private double taughtIdle = Double.POSITIVE_INFINITY;
     private double taughtAt;
@@ -241,6 +248,25 @@
         }
     }
 
+    /**
+     * Takes answers that have come. After a pause of the loop a crowd of callers and of answers lies unread,
+     * and with the callers first, upstreams that have answered would look busy.
+     */
+    void readAnswers() {
+        double now = clock.now();
+        if (now < lookedAt + LOOK_EVERY_MS) {
+            return;
+        }
+        lookedAt = now;
+        for (Attempt attempt : awaited.stream().limit(MOST_LOOKED_FOR).toList()) {
+            // One may have been ended by what another has brought about.
+            if (awaited.remove(attempt)) {
+                awaited.add(attempt);
+                attempt.readNow();
+            }
+        }
+    }
+
     private void sweep() {
         if (unreadable > 0 && clock.now() >= toldAt + TELL_EVERY_MS) {
             Node.LOG.warning(unreadable + " answers of upstreams could not be read");
@@ -430,7 +456,12 @@
             written = write.isSuccess();
             if (!written) {
                 broke();
-            } else if (!probe) {
+                return;
+            }
+            if (!over) {
+                awaited.add(this);
+            }
+            if (!probe) {
                 figures.dispatched();
             }
         }
@@ -483,6 +514,7 @@
 
         /** A large answer has begun. */
         private boolean begun(HttpResponse head) {
+            awaited.remove(this);
             download = listener.begun(this, HttpUtil.getContentLength(head, -1L));
             if (download == null || over) {
                 return false;
@@ -510,7 +542,18 @@
             giveUp(written || download != null ? Result.RESET : Result.CONNECT_FAILED);
         }
 
+        /**
+         * Takes its answer if that has come and lies unread: a loop that is late handles timers that are due
+         * before it looks at its sockets again, and its own lateness is not the upstream's.
+         */
+        void readNow() {
+            if (!over && written && download == null) {
+                Sockets.readNow(channel);
+            }
+        }
+
         private void expire() {
+            readNow();
             giveUp(written ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
 
@@ -554,6 +597,7 @@
                 expiry.cancel(false);
             }
             moving.remove(this);
+            awaited.remove(this);
             if (upload != null) {
                 upload.leave(this);
             }
--- /dev/null
+++ b/src/test/java/cranedeal/node/LateLoopTest.java
@@ -0,0 +1,143 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import cranedeal.LoadBalancer.Result;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A loop that is late reads what has come before it goes by what a timer says. */
+@Timeout(60)
+class LateLoopTest {
+
+    /** More than the loop may need between two lines of one call; it is held until this is over. */
+    private static final double TIMEOUT_MS = 1_000;
+    private static final int PATIENCE_S = 10;
+    /** After that the node looks for answers again. */
+    private static final double LOOKED_AT_MS = 50;
+    /** As the kernel's tables have it. */
+    private static final String ESTABLISHED = "01";
+
+    @Test
+    void anAnswerThatHasComeIsNoTimeoutHoweverLateItIsRead() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            Peer upstream = keptConnection(stage, caller);
+            stage.script.onRequest = request -> {
+                stage.script.sendTo(0, request, TIMEOUT_MS);
+                awaitUnread(stage.upstreams.get(0), TIMEOUT_MS);
+            };
+            caller.write(Stage.get("2", "10"));
+            upstream.read();
+            upstream.write(Stage.ok("second"));
+            assertEquals(Result.OK, stage.script.result());
+            assertEquals("second", caller.read().body());
+        }
+    }
+
+    @Test
+    void theModuleHearsOfAnAnswerThatHasComeBeforeATimerOfItsRequest() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            Peer upstream = keptConnection(stage, caller);
+            LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
+            stage.script.onOutcome = outcome -> told.add("outcome");
+            stage.script.onTimer = () -> told.add("timer");
+            stage.script.onRequest = request -> {
+                stage.script.sendTo(0, request, 0);
+                stage.script.actions.setTimer(1, request.deadline() - PATIENCE_S * 1_000 + TIMEOUT_MS);
+                awaitUnread(stage.upstreams.get(0), TIMEOUT_MS);
+            };
+            caller.write(Stage.get("2", Integer.toString(PATIENCE_S)));
+            upstream.read();
+            upstream.write(Stage.ok("second"));
+            assertEquals("outcome", Script.next(told));
+            assertEquals("timer", Script.next(told));
+            assertEquals("second", caller.read().body());
+        }
+    }
+
+    @Test
+    void answersThatHaveComeAreTakenBeforeTheCallersThatCameMeanwhile() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            Peer other = stage.caller();
+            stage.settle();
+            Peer upstream = keptConnection(stage, caller);
+            LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
+            CountDownLatch held = new CountDownLatch(1);
+            stage.script.onOutcome = outcome -> told.add("outcome");
+            stage.script.onRequest = request -> {
+                told.add("request");
+                if (held.getCount() == 0) {
+                    stage.script.actions.refuse(request.id(), 0);
+                    return;
+                }
+                stage.script.sendTo(0, request, 0);
+                held.countDown();
+                awaitUnread(stage.upstreams.get(0), LOOKED_AT_MS);
+            };
+            caller.write(Stage.get("2", "10"));
+            upstream.read();
+            held.await();
+            // The kernel tells of the second caller first, as that came first.
+            other.write(Stage.get("3", "10"));
+            awaitUnread(stage.node.address().getPort(), true);
+            upstream.write(Stage.ok("second"));
+            assertEquals("request", Script.next(told));
+            assertEquals("outcome", Script.next(told));
+            assertEquals("request", Script.next(told));
+            assertEquals("second", caller.read().body());
+            assertEquals(503, other.read().status());
+        }
+    }
+
+    /** Brings it about that a request is out before the call that sends it returns. */
+    private static Peer keptConnection(Stage stage, Peer caller) throws Exception {
+        caller.write(Stage.get("1", "10"));
+        Peer upstream = stage.upstreams.get(0).accept();
+        upstream.read();
+        upstream.write(Stage.ok("first"));
+        assertEquals("first", caller.read().body());
+        assertEquals(Result.OK, stage.script.result());
+        return upstream;
+    }
+
+    /** Holds the loop until the kernel has bytes of an upstream that nobody has read, and a time is over. */
+    private static void awaitUnread(Listener upstream, double atLeastMs) {
+        long start = System.nanoTime();
+        String address = upstream.address();
+        awaitUnread(Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)), false);
+        while (System.nanoTime() - start < atLeastMs * 1e6) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Waits until a connection from or to a port of the node's side holds bytes that it has not read. */
+    private static void awaitUnread(int port, boolean local) {
+        String wanted = String.format(Locale.ROOT, ":%04X", port);
+        try {
+            while (true) {
+                for (String table : List.of("tcp", "tcp6")) {
+                    for (String line : Files.readAllLines(Path.of("/proc/self/net", table))) {
+                        // Columns: number, local and remote address, state, bytes to send and to be read.
+                        String[] columns = line.strip().split("\\s+");
+                        if (columns[local ? 1 : 2].endsWith(wanted) && columns[3].equals(ESTABLISHED)
+                                && !columns[4].endsWith(":00000000")) {
+                            return;
+                        }
+                    }
+                }
+            }
+        } catch (IOException e) {
+            throw new AssertionError("cannot see what is unread", e);
+        }
+    }
+}
