--- /dev/null
+++ b/src/main/java/cranedeal/lab/slope/ChainSettings.java
@@ -0,0 +1,44 @@
+package cranedeal.lab.slope;
+
+import cranedeal.LoadBalancer.Goal;
+import cranedeal.LoadBalancer.Group;
+import cranedeal.LoadBalancer.Limits;
+import cranedeal.LoadBalancer.Prices;
+import cranedeal.LoadBalancer.Repeat;
+import cranedeal.LoadBalancer.Reports;
+import cranedeal.LoadBalancer.Rules;
+import cranedeal.LoadBalancer.ServiceClass;
+import cranedeal.LoadBalancer.Settings;
+import cranedeal.LoadBalancer.WeightKind;
+import java.util.List;
+
+/**
+ * The settings of a balancer in a chain of tiers: those that the lab writes for an experiment with one zone,
+ * one kind of upstreams, no tenants and one class that may be repeated freely, as such a class is repeated
+ * most.
+ */
+public final class ChainSettings {
+
+    /** The class's time limits in milliseconds, as the lab's first experiment has them. */
+    public static final double AIM_MS = 500;
+    /** How long a client waits. */
+    public static final double DEADLINE_MS = 2_000;
+    /** After how long a connection that does not come up has failed. */
+    static final double CONNECT_TIMEOUT_MS = 250;
+
+    private ChainSettings() {
+    }
+
+    /** Of the balancer at a position in a tier; {@code tier} counts from 0, which clients reach. */
+    public static Settings of(int tier, int tiers, int position, int siblings) {
+        ServiceClass lookUp = new ServiceClass("look-up", AIM_MS, 0, DEADLINE_MS, 1, 0, Repeat.IDEMPOTENT,
+                Group.ALL, 0, false, false, null, null);
+        return new Settings(position, siblings, tier, tiers, 0, 1, 1, true, true, false, false, false, 0.1,
+                WeightKind.NONE, Reports.NONE, List.of(), List.of(lookUp), List.of(),
+                new Limits(4, 20_000, true, false, true, false, true, 2_000, CONNECT_TIMEOUT_MS, 30_000, 1, 0,
+                        0),
+                new Rules(20, 2_000, 10_000, 0.25, 10_000, 3, 1_500, 0),
+                new Goal(0.7, 0.1, 0.1, 0.1, 0, 0, 0, 0),
+                new Prices(0, 0, 0, 0, 0, 0, 0, 0));
+    }
+}
--- a/src/main/java/cranedeal/lab/slope/Line.java
+++ b/src/main/java/cranedeal/lab/slope/Line.java
@@ -10,7 +10,7 @@
  * @param slope growth for each unit of size
  * @param intercept value at size 0, which is hardly ever a measured one
  * @param residual root of the mean square by which the repeats lie off the line, in the unit of the values
- * @param worst the most by which the median at a size lies off the line, as a share of the greater of the two
+ * @param worst the most by which the median at a size lies off the line, as a share of the greater of both
  * @param from the least size that went into it
  * @param to the greatest size that went into it
  * @param sizes how many sizes went into it
@@ -97,8 +97,8 @@
         double square = all.stream().mapToDouble(one -> (one[0] - meanX) * (one[0] - meanX)).sum();
         double slope = both / square;
         double intercept = meanY - slope * meanX;
-        double residual = Math.sqrt(all.stream()
-                .mapToDouble(one -> Math.pow(one[1] - intercept - slope * one[0], 2)).average().orElseThrow());
+        double residual = Math.sqrt(all.stream().mapToDouble(
+                one -> Math.pow(one[1] - intercept - slope * one[0], 2)).average().orElseThrow());
         double worst = points.stream().mapToDouble(point -> off(point.median(), intercept
                 + slope * point.size())).max().orElseThrow();
         return new Line(slope, intercept, residual, worst, points.get(0).size(),
@@ -108,6 +108,7 @@
     private static double off(double measured, double line) {
         // Rounding is no bend, also where all is zero.
         double distance = Math.abs(measured - line);
-        return distance <= 1e-9 * (1 + Math.abs(measured)) ? 0 : distance / Math.max(Math.abs(measured), Math.abs(line));
+        return distance <= 1e-9 * (1 + Math.abs(measured)) ? 0
+                : distance / Math.max(Math.abs(measured), Math.abs(line));
     }
 }
--- a/src/main/java/cranedeal/lab/swarm/Swarm.java
+++ b/src/main/java/cranedeal/lab/swarm/Swarm.java
@@ -216,7 +216,7 @@
         events.add(new Event(Math.max(at, now), count++, node, node.process, source, message, task));
     }
 
-    /** From now on the size of every datagram counts, not that of a sample: what a member sends in a second. */
+    /** From now on the size of every datagram counts, not that of a sample: one second shows it then. */
     public void countAll() {
         sample = 1;
     }
--- a/src/test/java/cranedeal/lab/slope/SlopeReportTest.java
+++ b/src/test/java/cranedeal/lab/slope/SlopeReportTest.java
@@ -120,6 +120,7 @@
     @Test
     void wrongUseIsSaid() {
         assertEquals(Program.WRONG_USE, Program.run(Map.of(), "lab", "slope"));
-        assertEquals(Program.WRONG_USE, Program.run(Map.of(), "lab", "slope", "membership", "--members", "4"));
+        assertEquals(Program.WRONG_USE, Program.run(Map.of(), "lab", "slope", "membership", "--members",
+                "4"));
     }
 }
