Measure what a balancer adds to a call: lab slope data-path and connections

The lab's experiments have relays between all parties, and a generator that is some milliseconds late, so that what the balancer itself adds is lost in them; and the probe by which false refusals were found was nobody's to repeat.

'lab slope data-path' plays the same calls in pairs, directly to the upstreams and through one balancer with the flags of service: open loop, kept connections, no relay, all upstreams one process that answers at once or after a fixed time, the warm-up counted apart, the first half of a pair changing. By rate or by length of the list it gives the added p50, p99 and p99.9, processor time a call (the kernel's nanoseconds of the threads, as the process's own count goes in steps of 10 ms), bytes allocated a call from the log of collections (named as not measured where a half has fewer than two), resident memory, the generator's own lateness, and what was refused, with the ids of the first ones.

No figure is taken from it yet.

--- a/src/main/java/cranedeal/lab/LabCommand.java
+++ b/src/main/java/cranedeal/lab/LabCommand.java
@@ -43,7 +43,7 @@
     }
 
     /** How to start the program under test. */
-    static final class ProgramUnderTest {
+    public static final class ProgramUnderTest {
 
         /** The flags of service, as the deploy file has them. */
         private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
@@ -55,7 +55,8 @@
                 description = "The version to play with; this one if not given.")
         private Path jar;
 
-        List<String> command() throws CommandException {
+        /** The command that runs it, without arguments; throws {@link CommandException} for no such file. */
+        public List<String> command() throws CommandException {
             if (jar != null && !Files.isRegularFile(jar)) {
                 throw new CommandException(Program.WRONG_USE, jar + ": no such file");
             }
--- /dev/null
+++ b/src/main/java/cranedeal/lab/slope/DataPathClient.java
@@ -0,0 +1,271 @@
+package cranedeal.lab.slope;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.Histogram;
+
+/**
+ * An open loop: sends each call when it is due, whatever became of those before, on connections that it
+ * keeps. All sockets belong to one loop; the thread that plays only keeps time, as timers of a loop are as
+ * coarse as a millisecond.
+ */
+final class DataPathClient {
+
+    private static final int LARGEST = 64 * 1024;
+    private static final double NANOS_PER_S = 1e9;
+    private static final long LONGEST_NANOS = 60_000_000_000L;
+    private static final long ANSWER_S = 10;
+    /** How far before a call is due the thread stops to sleep: the kernel wakes it some 50 us late. */
+    private static final long SPIN_NANOS = 80_000;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final Map<InetSocketAddress, ArrayDeque<Connection>> idle = new HashMap<>();
+    private long lastId;
+    private Tally tally;
+
+    DataPathClient(EventLoop loop) {
+        this.loop = loop;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true).handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST),
+                                new Connection(channel));
+                    }
+                });
+    }
+
+    /**
+     * What became of the calls of a block.
+     *
+     * @param calls how many were due; each of them is counted in one of the next four
+     * @param refused answered 503: the balancer turned them away
+     * @param failed answered otherwise, or their connection broke
+     * @param unanswered without any answer 10 s after the last was sent
+     * @param refusals the ids of the first refused calls
+     * @param latency from a call's writing to its whole answer, of those served, in nanoseconds
+     * @param lateness from when a call was due to its writing, in nanoseconds: the generator's own fault
+     */
+    record Block(long calls, long served, long refused, long failed, long unanswered, List<String> refusals,
+            Histogram latency, Histogram lateness) { }
+
+    private static final class Tally {
+
+        private static final int IDS_KEPT = 20;
+
+        private final long calls;
+        private final CountDownLatch open;
+        private long served;
+        private long refused;
+        private long failed;
+        private final List<String> refusals = new ArrayList<>();
+        private final Histogram latency = new Histogram(LONGEST_NANOS, 3);
+        private final Histogram lateness = new Histogram(LONGEST_NANOS, 3);
+
+        Tally(int calls) {
+            this.calls = calls;
+            open = new CountDownLatch(calls);
+        }
+
+        Block block() {
+            return new Block(calls, served, refused, failed, calls - served - refused - failed,
+                    List.copyOf(refusals), latency.copy(), lateness.copy());
+        }
+    }
+
+    /**
+     * Plays a block of calls and returns when all are answered: Poisson, the same for the same seed. Each
+     * goes to a target at random.
+     *
+     * @param perS calls a second
+     */
+    Block play(List<InetSocketAddress> targets, double perS, double seconds, long seed)
+            throws InterruptedException {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Double> due = new ArrayList<>();
+        for (double at = gap(random, perS); at < seconds; at += gap(random, perS)) {
+            due.add(at);
+        }
+        Tally block = new Tally(due.size());
+        loop.submit(() -> tally = block).sync();
+        long start = System.nanoTime();
+        for (double at : due) {
+            long dueAt = start + (long) (at * NANOS_PER_S);
+            InetSocketAddress target = targets.get(random.nextInt(targets.size()));
+            awaitTime(dueAt);
+            loop.execute(() -> call(block, target, dueAt));
+        }
+        block.open.await(ANSWER_S, TimeUnit.SECONDS);
+        return loop.submit(block::block).sync().getNow();
+    }
+
+    private static double gap(SplittableRandom random, double perS) {
+        return -Math.log(1 - random.nextDouble()) / perS;
+    }
+
+    private static void awaitTime(long nanos) throws InterruptedException {
+        for (long left = nanos - System.nanoTime(); left > 0; left = nanos - System.nanoTime()) {
+            if (left > SPIN_NANOS) {
+                LockSupport.parkNanos(left - SPIN_NANOS);
+            } else {
+                Thread.onSpinWait();
+            }
+            if (Thread.interrupted()) {
+                throw new InterruptedException();
+            }
+        }
+    }
+
+    /** Opens connections to be kept, each for one call; how many stand idle at the target in the end. */
+    int open(InetSocketAddress target, int connections) throws InterruptedException {
+        Tally block = new Tally(connections);
+        loop.submit(() -> tally = block).sync();
+        for (int i = 0; i < connections; i++) {
+            loop.submit(() -> connect(block, target, System.nanoTime())).sync();
+            // One after the other: a burst of calls is another thing to measure.
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        block.open.await(ANSWER_S, TimeUnit.SECONDS);
+        return loop.submit(() -> idle.getOrDefault(target, new ArrayDeque<>()).size()).sync().getNow();
+    }
+
+    /** Closes all connections. */
+    void close() throws InterruptedException {
+        loop.submit(() -> {
+            idle.values().stream().flatMap(ArrayDeque::stream).toList()
+                    .forEach(connection -> connection.channel.close());
+            idle.clear();
+        }).sync();
+    }
+
+    private void call(Tally block, InetSocketAddress target, long dueAt) {
+        ArrayDeque<Connection> kept = idle.computeIfAbsent(target, address -> new ArrayDeque<>());
+        for (Connection one = kept.pollLast(); one != null; one = kept.pollLast()) {
+            if (one.channel.isActive()) {
+                one.send(block, dueAt);
+                return;
+            }
+        }
+        connect(block, target, dueAt);
+    }
+
+    private void connect(Tally block, InetSocketAddress target, long dueAt) {
+        bootstrap.connect(target).addListener((ChannelFuture up) -> {
+            if (up.isSuccess()) {
+                Connection fresh = up.channel().pipeline().get(Connection.class);
+                fresh.target = target;
+                fresh.send(block, dueAt);
+            } else {
+                block.failed++;
+                block.open.countDown();
+            }
+        });
+    }
+
+    /** A connection, and the call that is on it. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        private final Channel channel;
+        private InetSocketAddress target;
+        private Tally block;
+        private String id;
+        private long sentAt;
+
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        void send(Tally to, long dueAt) {
+            block = to;
+            id = String.format(Locale.ROOT, "%016x", ++lastId);
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/" + DataPathConfig.CLASS + "/7");
+            request.headers().set("Host", "app.svc").set("X-Txn", id).set("X-Lane", DataPathConfig.CLASS)
+                    .set("X-Remaining", DataPathConfig.PATIENCE_S);
+            sentAt = System.nanoTime();
+            block.lateness.recordValue(Math.min(LONGEST_NANOS, Math.max(0, sentAt - dueAt)));
+            channel.writeAndFlush(request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            long took = System.nanoTime() - sentAt;
+            Tally answered = block;
+            block = null;
+            if (answered == null) {
+                ctx.close();
+                return;
+            }
+            int status = response.status().code();
+            if (status == OK) {
+                answered.served++;
+                answered.latency.recordValue(Math.min(LONGEST_NANOS, took));
+            } else if (status == UNAVAILABLE) {
+                answered.refused++;
+                if (answered.refusals.size() < Tally.IDS_KEPT) {
+                    answered.refusals.add(id);
+                }
+            } else {
+                answered.failed++;
+            }
+            if (HttpUtil.isKeepAlive(response)) {
+                idle.computeIfAbsent(target, address -> new ArrayDeque<>()).addLast(this);
+            } else {
+                ctx.close();
+            }
+            answered.open.countDown();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            ArrayDeque<Connection> kept = idle.get(target);
+            if (kept != null) {
+                kept.remove(this);
+            }
+            if (block != null) {
+                block.failed++;
+                block.open.countDown();
+                block = null;
+            }
+            ctx.fireChannelInactive();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                java.util.logging.Logger.getLogger("sablehinge").log(java.util.logging.Level.WARNING,
+                        "a connection of the bench failed", cause);
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/lab/slope/DataPathStudy.java
@@ -0,0 +1,193 @@
+package cranedeal.lab.slope;
+
+import cranedeal.fleet.command.CommandException;
+import cranedeal.lab.LabCommand.ProgramUnderTest;
+import cranedeal.lab.slope.SlopeReport.Basis;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/**
+ * What a balancer adds to a call: the same calls sent directly to the upstreams and through one balancer, in
+ * pairs, one after the other.
+ */
+@Command(name = "data-path", mixinStandardHelpOptions = true,
+        description = "Time that a balancer adds to a call, and what a call costs it, by rate and list.")
+final class DataPathStudy extends Study {
+
+    /** Quantiles in the names of series, in percent. */
+    private static final Map<String, Double> QUANTILES = new TreeMap<>(Map.of("p50", 50.0, "p99", 99.0,
+            "p999", 99.9));
+    private static final double NANOS_PER_US = 1e3;
+    /** The seed of the warm-up; pairs are numbered from 1. */
+    private static final long WARM_UP = 0;
+
+    @Option(names = "--rates", split = ",", defaultValue = "10,50,231,700,1500", paramLabel = "N",
+            description = "Calls a second, 10 for an idle balancer; default ${DEFAULT-VALUE}.")
+    private List<Double> rates;
+    @Option(names = "--lists", split = ",", defaultValue = "25", paramLabel = "N",
+            description = "How many upstreams there are; default ${DEFAULT-VALUE}.")
+    private List<Integer> lists;
+    @Option(names = "--along", defaultValue = "rates", paramLabel = "rates|lists",
+            description = "Which of them the lines go along; default ${DEFAULT-VALUE}.")
+    private String along;
+    @Option(names = "--seconds", defaultValue = "4",
+            description = "How long each half of a pair lasts; default ${DEFAULT-VALUE}.")
+    private double seconds;
+    @Option(names = "--pairs", defaultValue = "3", paramLabel = "N",
+            description = "Pairs at each point; default ${DEFAULT-VALUE}.")
+    private int pairs;
+    @Option(names = "--warm-up", defaultValue = "8", paramLabel = "SECONDS",
+            description = "At the greatest rate, for each list; counted apart. Default ${DEFAULT-VALUE}.")
+    private double warmUp;
+    @Option(names = "--work-us", defaultValue = "0", paramLabel = "N",
+            description = "Microseconds that an upstream takes for an answer; default ${DEFAULT-VALUE}.")
+    private long workUs;
+    @Mixin
+    private ProgramUnderTest program;
+
+    /** A point of the grid. */
+    private record Place(double rate, int list) { }
+
+    /** A pair: the same calls directly and through the balancer; {@code bytes} NaN where not measured. */
+    private record Pair(DataPathClient.Block direct, DataPathClient.Block through, double cpuUs,
+            double bytes) {
+
+        double addedUs(double percent) {
+            return us(through.latency(), percent) - us(direct.latency(), percent);
+        }
+    }
+
+    private static double us(Histogram of, double percent) {
+        return of.getValueAtPercentile(percent) / NANOS_PER_US;
+    }
+
+    @Override
+    protected SlopeReport measure() throws CommandException, IOException, InterruptedException {
+        boolean byRate = along.equals("rates");
+        if (!byRate && !along.equals("lists")) {
+            throw wrong("--along: rates or lists is wanted, not '" + along + "'");
+        }
+        if ((byRate ? rates.size() : lists.size()) < Line.LEAST_SIZES) {
+            throw wrong("--" + along + ": " + Line.LEAST_SIZES + " or more are wanted for a line");
+        }
+        if (!rates.stream().allMatch(rate -> rate > 0 && Double.isFinite(rate)) || !(seconds > 0)
+                || lists.stream().anyMatch(one -> one < 1) || pairs < 1 || !(warmUp > 0) || workUs < 0) {
+            throw wrong("rates, lists, times and pairs above 0 are wanted");
+        }
+        Map<Place, List<Pair>> seen = new LinkedHashMap<>();
+        Map<String, Object> warmUps = new LinkedHashMap<>();
+        Map<String, Object> memory = new LinkedHashMap<>();
+        for (int list : lists) {
+            try (DataPathStage stage = new DataPathStage(program.command(), list, workUs)) {
+                warmUps.put(Integer.toString(list), warmUp(stage));
+                for (int pair = 1; pair <= pairs; pair++) {
+                    for (double rate : rates) {
+                        seen.computeIfAbsent(new Place(rate, list), place -> new ArrayList<>())
+                                .add(pair(stage, rate, pair));
+                    }
+                }
+                memory.put(Integer.toString(list), stage.rssKb());
+            }
+        }
+        return report(seen, byRate).with("seconds", seconds).with("pairs", pairs).with("work_us", workUs)
+                .with("warm_up_s", warmUp).with("warm_up", warmUps).with("rss_kb", memory)
+                .with("latency", "from a call's writing to its whole answer; the generator's lateness apart");
+    }
+
+    /** Calls to each upstream and through the balancer until all of it is compiled and connected. */
+    private Map<String, Object> warmUp(DataPathStage stage) throws InterruptedException {
+        double most = rates.stream().mapToDouble(Double::doubleValue).max().orElseThrow();
+        stage.client().play(stage.upstreams(), most, warmUp, WARM_UP);
+        return told(stage.client().play(List.of(stage.listen()), most, warmUp, WARM_UP));
+    }
+
+    private Pair pair(DataPathStage stage, double rate, int number) throws IOException,
+            InterruptedException {
+        // Which half comes first changes with each pair, so that a drift of the machine favours neither.
+        boolean directFirst = number % 2 == 1;
+        DataPathClient.Block direct = directFirst ? direct(stage, rate, number) : null;
+        double before = stage.cpuUs();
+        long mark = stage.mark();
+        DataPathClient.Block through = stage.client().play(List.of(stage.listen()), rate, seconds, number);
+        double cpu = (stage.cpuUs() - before) / Math.max(1, through.calls());
+        double bytes = stage.allocatedPerS(mark) * seconds / Math.max(1, through.calls());
+        return new Pair(directFirst ? direct : direct(stage, rate, number), through, cpu, bytes);
+    }
+
+    private DataPathClient.Block direct(DataPathStage stage, double rate, int number)
+            throws InterruptedException {
+        return stage.client().play(stage.upstreams(), rate, seconds, number);
+    }
+
+    private static Map<String, Object> told(DataPathClient.Block block) {
+        Map<String, Object> counts = new LinkedHashMap<>();
+        counts.put("calls", block.calls());
+        counts.put("served", block.served());
+        counts.put("refused", block.refused());
+        counts.put("failed", block.failed());
+        counts.put("unanswered", block.unanswered());
+        if (!block.refusals().isEmpty()) {
+            counts.put("refusals", block.refusals());
+        }
+        return counts;
+    }
+
+    private SlopeReport report(Map<Place, List<Pair>> seen, boolean byRate) {
+        SlopeReport report = report(byRate ? "call a second" : "upstream");
+        Map<String, Object> counts = new LinkedHashMap<>();
+        List<String> missing = new ArrayList<>();
+        for (Number fixed : byRate ? lists : rates) {
+            String name = (byRate ? "-list-" : "-rate-") + plain(fixed.doubleValue());
+            Map<Double, List<Pair>> line = new TreeMap<>();
+            seen.forEach((place, all) -> {
+                if ((byRate ? place.list() : place.rate()) == fixed.doubleValue()) {
+                    line.put(byRate ? place.rate() : place.list(), all);
+                }
+            });
+            QUANTILES.forEach((label, percent) -> {
+                add(report, "added-" + label + name, "us", line, pair -> pair.addedUs(percent));
+                add(report, "direct-" + label + name, "us", line, pair -> us(pair.direct().latency(),
+                        percent));
+            });
+            add(report, "generator-late-p99" + name, "us", line, pair -> us(pair.through().lateness(), 99));
+            add(report, "cpu" + name, "us", line, Pair::cpuUs);
+            if (line.values().stream().flatMap(List::stream).mapToDouble(Pair::bytes)
+                    .allMatch(Double::isFinite)) {
+                add(report, "allocated" + name, "bytes", line, Pair::bytes);
+            } else {
+                missing.add("allocated" + name + ": a half with fewer than two collections");
+                line.forEach((at, all) -> all.stream().mapToDouble(Pair::bytes).filter(Double::isFinite)
+                        .average().ifPresent(mean -> counts.put("allocated_bytes" + name + "-at-" + plain(at),
+                                Math.round(mean))));
+            }
+            line.forEach((at, all) -> {
+                counts.put("through" + name + "-at-" + plain(at), all.stream()
+                        .map(pair -> told(pair.through())).toList());
+                counts.put("direct" + name + "-at-" + plain(at), all.stream()
+                        .map(pair -> told(pair.direct())).toList());
+            });
+        }
+        return report.with("counts", counts).with("not_measured", missing);
+    }
+
+    private static void add(SlopeReport report, String name, String unit, Map<Double, List<Pair>> line,
+            ToDoubleFunction<Pair> what) {
+        report.add(name, unit, Basis.MEASURED, line.entrySet().stream()
+                .map(entry -> new Point(entry.getKey(), entry.getValue().stream()
+                        .map(what::applyAsDouble).toList())).toList());
+    }
+
+    private static String plain(double size) {
+        return size == Math.rint(size) ? Long.toString((long) size) : String.format(Locale.ROOT, "%s", size);
+    }
+}
