Wait a tenth of the aim at least before an attempt is given up as slow

Without second copies, an attempt is given up after twice the delay that nearly all calls keep to. Where upstreams answer within a millisecond that is 3 to 7 ms (traced), less than a collection of garbage or the scheduler of a busy machine takes, on either side: one such pause ended all calls in flight, those beyond the budget of further attempts were refused with nearly all of their time left, and the rest was taken for overload. A server that is slow by a tenth of the aim can still be left in good time. Where latencies are not small against the aim nothing changes: twice that delay is three times the expected latency or more.

The new test in ModuleTest plays a pause of 20 ms after fast answers; without the change 7 of its 10 calls are refused.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -82,6 +82,8 @@
     private static final double MOST_SLOW_RATIO = 10;
     /** Without second copies an attempt that may be repeated is given up after this many such delays. */
     private static final double GIVE_UP = 2;
+    /** The least share of its aim that it has even so: a pause, here or there, is no slow server. */
+    private static final double LEAST_WAIT = 0.1;
     /** Calls beyond the first that each request earns: bounds retries and copies when all is slow. */
     private static final double EXTRA_PER_REQUEST = 0.1;
     /** Most unused earnings kept, and those granted at start. */
@@ -495,10 +497,9 @@
             return true;
         }
         Upstream from = first.server.listed;
-        Upstream to = server.listed;
         return c.repeat() == Repeat.DEDUPLICATED && now < first.sentAt + c.memory()
                 && (c.group() == Group.ALL || (c.group() == Group.ZONE
-                ? from.zone() == to.zone() : from.cell() == to.cell()));
+                ? from.zone() == server.listed.zone() : from.cell() == server.listed.cell()));
     }
 
     // ---- Rule 4: servers that have just started ----------------------------------------------------
@@ -549,11 +550,12 @@
         Attempt attempt = new Attempt(call, server, now);
         double timeout = call.arriving ? 0 : call.usefulEnd - now;
         double slowAfter = slowAfter(call);
+        double giveUpAfter = Math.max(GIVE_UP * slowAfter, LEAST_WAIT * call.type.aim());
         boolean repeatable = call.type.repeat() != Repeat.AT_MOST_ONCE && !call.type.streamed();
         if (repeatable && settings.limits().parallel() && slowAfter + expected(call) < timeout) {
             actions.setTimer(call.id << 8 | attempt.number, now + slowAfter);
-        } else if (repeatable && extraCalls >= 1 && GIVE_UP * slowAfter + expected(call) < timeout) {
-            timeout = GIVE_UP * slowAfter;
+        } else if (repeatable && extraCalls >= 1 && giveUpAfter + expected(call) < timeout) {
+            timeout = giveUpAfter;
         }
         call.attempts.add(attempt);
         server.owedFrom = Double.NaN;
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -568,6 +568,30 @@
         assertTrue(failing <= 8, failing + " of 60 sent to the failing server");
     }
 
+    @Test
+    void aPauseOfMillisecondsRefusesNothingWhereAnswersAreFast() {
+        Bench bench = new Bench(Sites.plain().lateWorth(0).build(), 1);
+        Sites.Server[] idle = new Sites.Server[25];
+        Arrays.setAll(idle, i -> Sites.server(i + 1));
+        bench.list(Change.CACHED, idle);
+        // As at a start: the first answers take their time, all others none to speak of.
+        int known = 1_000;
+        for (int i = 0; i < known; i++) {
+            bench.request(i, 0);
+            bench.advance(1);
+            bench.finishAfter(bench.lastSend(), Result.OK, i < 500 ? 200 : 1);
+        }
+        // All wait for as long as a collection of garbage takes, far less than any aim.
+        for (int i = known; i < known + 10; i++) {
+            bench.request(i, 0);
+        }
+        List<Bench.Sent> out = List.copyOf(bench.sends.subList(known, known + 10));
+        bench.advance(20);
+        out.forEach(sent -> bench.finish(sent, sent.timeout() <= 20 ? Result.TIMEOUT : Result.OK));
+        assertEquals(List.of(), bench.refused);
+        assertEquals(known + 10, bench.sends.size());
+    }
+
     @Test
     void noSecondCopyIsSentWhileWorkIsRefused() {
         Bench bench = new Bench(Sites.plain().parallel(true).build(), 1);
