--- a/src/main/java/cranedeal/lab/LabCommand.java
+++ b/src/main/java/cranedeal/lab/LabCommand.java
@@ -5,6 +5,7 @@
 import cranedeal.fleet.command.Role;
 import cranedeal.lab.report.Comparison;
 import cranedeal.lab.report.Summary;
+import cranedeal.lab.slope.SlopeCommand;
 import cranedeal.lab.swarm.SwarmCommand;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -26,7 +27,7 @@
 
 /** The lab's commands. Exit codes: 0, all held; 1, something did not, or nothing was shown; 2, wrong use. */
 @Command(name = "lab", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
-        subcommands = SwarmCommand.class,
+        subcommands = {SwarmCommand.class, SlopeCommand.class},
         description = "Plays experiments: several processes of the program, load, and faults between them.")
 public final class LabCommand implements Role, Callable<Integer> {
 
@@ -42,7 +43,7 @@
     }
 
     /** How to start the program under test. */
-    static final class ProgramUnderTest {
+    public static final class ProgramUnderTest {
 
         /** The flags of service, as the deploy file has them. */
         private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
@@ -54,7 +55,8 @@
                 description = "The version to play with; this one if not given.")
         private Path jar;
 
-        List<String> command() throws CommandException {
+        /** The command that runs it, without arguments; throws {@link CommandException} for no such file. */
+        public List<String> command() throws CommandException {
             if (jar != null && !Files.isRegularFile(jar)) {
                 throw new CommandException(Program.WRONG_USE, jar + ": no such file");
             }
