Hold cold servers' budget to the traffic for those that warm servers leave behind

A cold server earns a part of each request: its warmth over that of all open servers, or over half their number. When the warm servers leave (drained, replaced) the few that stay share all the traffic, and each balancer takes that for their measure: N is a multiple of what one of them can do, not of what comes. Earned shares add up over any number of balancers; the bank of one call each adds little beside, and grows with their number.

Each class now remembers over how many warm servers its requests were spread, the most since no server was cold, and half of these at least are reckoned with. Nothing changes while the fleet keeps its size. The second draw, among servers that were tried, follows from the first finding none, without a flag.

--- a/src/main/java/cranedeal/ClassRecord.java
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -24,6 +24,8 @@
     private double easedAt;
     /** When the latest of the attempts went out that were served in good time. */
     double fineSentAt = Double.NEGATIVE_INFINITY;
+    /** How many warm servers its requests were spread over: the most since none was cold. */
+    double spread;
     /** How many times the expected latency only the slowest calls take. */
     double slowRatio;
 
@@ -47,6 +49,7 @@
         latency = before.latency;
         hint = before.hint;
         share = before.share;
+        spread = before.spread;
         refused = before.refused;
         pressure = before.leader.pressure;
         feltAt = before.leader.feltAt;
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -395,20 +395,17 @@
      */
     private Server draw(Call call, boolean untried, double now) {
         double tries = 0;
-        boolean any = false;
         for (Server server : ready) {
             tries += server.tries;
             boolean usable = mayGoTo(call, server, now) && !(untried && call.tried(server))
                     && atRest(server, call, now) <= call.worst;
             server.weight = usable ? 1 / cost(server, call, now) : 0;
-            any |= usable;
         }
         evidence = tries / Math.max(1, ready.size());
-        if (!any) {
-            boolean again = untried && call.running == 0 && call.worst == Double.MAX_VALUE;
-            return again ? draw(call, false, now) : null;
-        }
         Server drawn = drawByWeight();
+        if (drawn == null && untried && call.running == 0 && call.worst == Double.MAX_VALUE) {
+            return draw(call, false, now);
+        }
         if (drawn == null || isOpen(drawn, call, now)) {
             return drawn;
         }
@@ -517,16 +514,18 @@
      * Every request earns the cold servers open to it a part of a call: their warmth's share of the traffic
      * times what the rule allows, less a margin. Shares need no history and add up over siblings that do
      * alike. Counting requests, not sends, lets a fleet that is cold as a whole begin; the half that is
-     * taken as warm at least keeps it from being pushed over.
+     * taken as warm at least keeps it from being pushed over. It is half of those that the traffic was spread
+     * over before: when warm servers leave, what came for them is no measure of those that stay.
      */
     private void earnColdBudget(Call call, double now) {
+        List<Server> open = ready.stream().filter(server -> call.type.admits(server.listed)).toList();
+        double warm = open.stream().mapToDouble(server -> warmth(server, now)).sum();
+        call.record.spread = now < coldUntil ? Math.max(call.record.spread, warm) : warm;
         if (now >= coldUntil) {
             return;
         }
-        List<Server> open = ready.stream().filter(server -> call.type.admits(server.listed)).toList();
-        double warm = open.stream().mapToDouble(server -> warmth(server, now)).sum();
         double part = Math.min(1, COLD_MARGIN * settings.rules().fallMultiple());
-        part /= Math.max(warm, open.size() / 2.0);
+        part /= Math.max(warm, Math.max(call.record.spread, open.size()) / 2);
         double rate = evidence / EVIDENCE_FADE;
         for (Server server : open) {
             server.coldBudget = Math.min(1, server.coldBudget + part * warmth(server, now));
