--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -574,16 +574,13 @@
     /** A call is slower than nearly all: a second copy elsewhere, if the budget has one. */
     @Override
     public void timer(double now, long token) {
-        if (token == WATCH_TOKEN) {
-            actions.watch(true);
-            return;
-        }
         Call call = calls.get(token >>> 8);
         int number = (int) (token & 0xff);
-        if (call == null) {
+        if (token == WATCH_TOKEN) {
+            actions.watch(true);
+        } else if (call == null) {
             return;
-        }
-        if (call.done) {
+        } else if (call.done) {
             forgetIfSettled(call, now);
         } else if (number == HOLD_TIMER && call.attempts.isEmpty()) {
             dispatch(call, now);
