--- /dev/null
+++ b/src/main/java/cranedeal/fleet/command/ConfigCommand.java
@@ -0,0 +1,226 @@
+package cranedeal.fleet.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import cranedeal.fleet.config.ConfigCalls;
+import cranedeal.fleet.config.ConfigDocument;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Changes the configuration of a fleet, and shows who goes by which version. */
+@Command(name = "config", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
+        subcommands = ConfigStatusCommand.class,
+        description = "Publishes the configuration of a fleet, and shows who goes by which version.")
+final class ConfigCommand implements Callable<Integer> {
+
+    static final JsonMapper JSON = new JsonMapper();
+    static final Duration CONNECT = Duration.ofSeconds(2);
+    /** Longer than a coordinator waits for the others. */
+    private static final Duration PATIENCE = Duration.ofSeconds(6);
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        return Program.missingSubcommand(spec);
+    }
+
+    /** Where coordinators listen. */
+    static final class To {
+
+        @Option(names = "--to", paramLabel = "ADDRESS", split = ",", required = true,
+                description = "Where coordinators listen; the first that answers tells who leads.")
+        private List<String> addresses;
+        @Option(names = "--json", description = "Answer in JSON.")
+        private boolean json;
+
+        List<String> addresses() throws CommandException {
+            for (String address : addresses) {
+                requireAddress(address);
+            }
+            return addresses;
+        }
+
+        boolean json() {
+            return json;
+        }
+    }
+
+    /** How a change is known. */
+    static final class Operation {
+
+        @Option(names = "--operation", paramLabel = "ID",
+                description = "By which the change is known if it is asked for again; drawn if not given.")
+        private String id;
+        @Option(names = "--author", paramLabel = "NAME",
+                description = "Who changes it; the user if not given.")
+        private String author;
+
+        String query() {
+            id = id == null ? UUID.randomUUID().toString() : id;
+            return "?operation=" + encoded(id) + "&author="
+                    + encoded(author == null ? System.getProperty("user.name", "unknown") : author);
+        }
+    }
+
+    static void requireAddress(String address) throws CommandException {
+        if (!address.matches("\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}")) {
+            throw new CommandException(Program.WRONG_USE, "'" + address + "' is no address with a port");
+        }
+    }
+
+    private static String encoded(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    @Command(name = "publish", mixinStandardHelpOptions = true,
+            description = "Publishes a document as the newest version. Exit code 0: it is on the disks of a"
+                    + " majority of the coordinators; 1: it is not, or not for sure; 2: it can't be"
+                    + " published.")
+    private int publish(@Parameters(paramLabel = "FILE", description = "The document, in JSON.") Path file,
+            @Mixin To to, @Mixin Operation operation) throws CommandException {
+        byte[] document;
+        try {
+            document = Files.readAllBytes(file);
+            ConfigDocument.parse(document);
+        } catch (IOException e) {
+            throw new CommandException(Program.WRONG_USE, "cannot read " + file + ": " + e.getMessage());
+        } catch (ConfigDocument.BadDocumentException e) {
+            throw new CommandException(Program.WRONG_USE, file + ": " + e.getMessage());
+        }
+        return change(to, ConfigCalls.PUBLISH + operation.query(), document, operation.id);
+    }
+
+    @Command(name = "rollback", mixinStandardHelpOptions = true,
+            description = "Publishes the document of an earlier version again, as the newest version. Exit"
+                    + " code as publish has it.")
+    private int rollback(@Parameters(paramLabel = "NUMBER",
+            description = "The number of the earlier version.") long number, @Mixin To to,
+            @Mixin Operation operation) throws CommandException {
+        return change(to, ConfigCalls.ROLLBACK + operation.query() + "&number=" + number, new byte[0],
+                operation.id);
+    }
+
+    @Command(name = "take-over", mixinStandardHelpOptions = true,
+            description = "Has one coordinator lead from now on, under a higher epoch: at the start of a"
+                    + " fleet, and when the one that led is lost. Exit code 0: it leads; 1: it does not.")
+    private int takeOver(@Mixin To to) throws CommandException {
+        if (to.addresses().size() > 1) {
+            throw new CommandException(Program.WRONG_USE, "one coordinator can lead; --to names "
+                    + to.addresses().size());
+        }
+        Answer answer = ask(to.addresses().get(0), ConfigCalls.TAKE_OVER, new byte[0]);
+        if (answer == null) {
+            throw new CommandException(1, "no coordinator answers at " + to.addresses().get(0));
+        }
+        boolean done = answer.status() == 200;
+        tell(to, answer, done ? to.addresses().get(0) + " leads with epoch "
+                + answer.json().path("epoch").asText() : "it does not lead: " + answer.why());
+        return done ? 0 : 1;
+    }
+
+    /** An answer of a coordinator. */
+    private record Answer(int status, JsonNode json, String text) {
+
+        String why() {
+            return json.has("why") ? json.path("why").asText() : text.strip();
+        }
+    }
+
+    private int change(To to, String uri, byte[] body, String operation) throws CommandException {
+        Deque<String> left = new ArrayDeque<>(to.addresses());
+        Set<String> asked = new LinkedHashSet<>();
+        Set<String> silent = new LinkedHashSet<>();
+        Answer last = null;
+        while (!left.isEmpty()) {
+            String address = left.poll();
+            if (!asked.add(address)) {
+                continue;
+            }
+            Answer answer = ask(address, uri, body);
+            if (answer == null) {
+                silent.add(address);
+                continue;
+            }
+            boolean settled = answer.status() != 409 && answer.status() != 503;
+            // Whoever is not sure may lead no longer, and whoever does knows the operation if it got there.
+            last = settled || last == null || last.status() == 409 ? answer : last;
+            if (settled) {
+                break;
+            }
+            String leader = answer.json().path("leader").asText("");
+            if (!leader.isEmpty()) {
+                left.addFirst(leader);
+            }
+        }
+        String again = "; with --operation " + operation + " it can be asked for again without harm";
+        if (last == null) {
+            throw new CommandException(1, "no coordinator answers at " + String.join(", ", asked) + again);
+        }
+        boolean done = last.status() == 200;
+        boolean unsure = last.status() == 503 || last.status() == 409;
+        tell(to, last, done ? "version " + last.json().path("version").asText()
+                + " is on the disks of a majority of the coordinators"
+                + (last.why().isEmpty() ? "" : " (" + last.why() + ")")
+                : "it was not published: " + last.why() + (silent.contains(last.json().path("leader")
+                .asText()) ? " and does not answer; see fleet config take-over" : "")
+                + (unsure ? again : ""));
+        return done ? 0 : last.status() == 400 ? Program.WRONG_USE : 1;
+    }
+
+    private void tell(To to, Answer answer, String line) throws CommandException {
+        PrintWriter out = spec.commandLine().getOut();
+        if (to.json()) {
+            ObjectNode json = answer.json() instanceof ObjectNode given ? given
+                    : JSON.createObjectNode().put("result", "failed").put("why", answer.why());
+            out.println(json);
+        } else if (answer.status() == 200) {
+            out.println(line);
+        } else {
+            throw new CommandException(answer.status() == 400 ? Program.WRONG_USE : 1, line);
+        }
+        out.flush();
+    }
+
+    private static Answer ask(String address, String uri, byte[] body) {
+        HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(CONNECT).build();
+        try {
+            HttpResponse<byte[]> response = http.send(HttpRequest.newBuilder(URI.create("http://" + address
+                    + uri)).timeout(PATIENCE).POST(HttpRequest.BodyPublishers.ofByteArray(body)).build(),
+                    HttpResponse.BodyHandlers.ofByteArray());
+            String text = new String(response.body(), StandardCharsets.UTF_8);
+            return new Answer(response.statusCode(), text.startsWith("{") ? JSON.readTree(text)
+                    : JSON.createObjectNode(), text);
+        } catch (IOException e) {
+            return null;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/fleet/config/ConfigDocument.java
@@ -0,0 +1,156 @@
+package cranedeal.fleet.config;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import cranedeal.fleet.membership.Member;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * What operators publish: {@code {"form":1,"services":{"front":{"settings":{...},"discovery":"..."}}}}. Each
+ * service has a section, which its balancers lay over their own files.
+ */
+public final class ConfigDocument {
+
+    /** The most bytes of one section, and of all. */
+    public static final int MOST_SECTION = 256 << 10;
+    public static final int MOST_BYTES = 2 << 20;
+    private static final int FORM = 1;
+    private static final int MOST_SERVICES = 256;
+    private static final Set<String> KEYS = Set.of("settings", "discovery");
+    /** What differs from balancer to balancer of one service, so that none of it can be published to all. */
+    private static final Set<String> OWN_KEYS = Set.of("name", "listen", "seed", "limits", "fleet",
+            "admin_addr", "state_dir", "known", "settings.position", "settings.zone");
+    private static final JsonMapper JSON = JsonMapper.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+
+    private ConfigDocument() {
+    }
+
+    /** A document that can't be published; the message says where, by line and key. */
+    public static final class BadDocumentException extends Exception {
+
+        private static final long serialVersionUID = 1;
+
+        BadDocumentException(String message) {
+            super(message);
+        }
+    }
+
+    /** The sections by service, each in one form of its bytes; throws if any of it is wrong. */
+    public static SortedMap<String, byte[]> parse(byte[] bytes) throws BadDocumentException {
+        if (bytes.length > MOST_BYTES) {
+            throw new BadDocumentException("it has " + bytes.length + " bytes, and " + MOST_BYTES
+                    + " are the most");
+        }
+        Map<String, Integer> lines = lines(bytes);
+        JsonNode root;
+        try {
+            root = JSON.readTree(bytes);
+        } catch (IOException e) {
+            throw new BadDocumentException(e.getMessage().lines().findFirst().orElse(""));
+        }
+        if (root == null || !root.isObject()) {
+            throw new BadDocumentException("line 1: it is no object");
+        }
+        for (String key : names(root)) {
+            if (!Set.of("form", "services").contains(key)) {
+                throw wrong(lines, key, "is no key of a document; form and services are");
+            }
+        }
+        if (!root.path("form").isInt() || root.path("form").intValue() != FORM) {
+            throw wrong(lines, "form", "is not " + FORM);
+        }
+        JsonNode services = root.path("services");
+        if (!services.isObject() || services.size() > MOST_SERVICES) {
+            throw wrong(lines, "services", "is no object of at most " + MOST_SERVICES + " services");
+        }
+        SortedMap<String, byte[]> sections = new TreeMap<>();
+        for (Map.Entry<String, JsonNode> one : services.properties()) {
+            sections.put(one.getKey(), section(one.getKey(), one.getValue(), lines));
+        }
+        return sections;
+    }
+
+    private static byte[] section(String service, JsonNode section, Map<String, Integer> lines)
+            throws BadDocumentException {
+        String path = "services." + service;
+        try {
+            Member.requireName(service);
+        } catch (IllegalArgumentException e) {
+            throw wrong(lines, path, "has no name of a service: " + e.getMessage());
+        }
+        if (!section.isObject()) {
+            throw wrong(lines, path, "is no object");
+        }
+        for (String key : names(section)) {
+            if (OWN_KEYS.contains(key)) {
+                throw wrong(lines, path + "." + key, "is a machine's own, and can't be published");
+            }
+            if (!KEYS.contains(key)) {
+                throw wrong(lines, path + "." + key, "is no key of a section; settings and discovery are");
+            }
+        }
+        if (section.has("settings") && !section.get("settings").isObject()) {
+            throw wrong(lines, path + ".settings", "is no object");
+        }
+        for (String key : names(section.path("settings"))) {
+            if (OWN_KEYS.contains("settings." + key)) {
+                throw wrong(lines, path + ".settings." + key, "is a machine's own, and can't be published");
+            }
+        }
+        if (section.has("discovery") && !section.get("discovery").isTextual()) {
+            throw wrong(lines, path + ".discovery", "is no address");
+        }
+        try {
+            byte[] bytes = JSON.writeValueAsBytes(section);
+            if (bytes.length > MOST_SECTION) {
+                throw wrong(lines, path, "has " + bytes.length + " bytes, and " + MOST_SECTION
+                        + " are the most");
+            }
+            return bytes;
+        } catch (JsonProcessingException e) {
+            throw new BadDocumentException(path + ": " + e.getMessage());
+        }
+    }
+
+    private static Iterable<String> names(JsonNode object) {
+        return object::fieldNames;
+    }
+
+    private static BadDocumentException wrong(Map<String, Integer> lines, String path, String why) {
+        Integer line = lines.get(path);
+        return new BadDocumentException((line == null ? "" : "line " + line + ": ") + path + " " + why);
+    }
+
+    /** On which line each key is, by its path; those of the first four levels. */
+    private static Map<String, Integer> lines(byte[] bytes) throws BadDocumentException {
+        Map<String, Integer> lines = new HashMap<>();
+        try (JsonParser parser = JSON.createParser(bytes)) {
+            while (parser.nextToken() != null) {
+                if (parser.currentToken() == JsonToken.FIELD_NAME) {
+                    String path = parser.getParsingContext().pathAsPointer().toString().substring(1)
+                            .replace('/', '.');
+                    if (path.chars().filter(c -> c == '.').count() < 4) {
+                        lines.putIfAbsent(path, parser.currentTokenLocation().getLineNr());
+                    }
+                }
+            }
+            return lines;
+        } catch (JsonProcessingException e) {
+            throw new BadDocumentException("line " + e.getLocation().getLineNr() + ", column "
+                    + e.getLocation().getColumnNr() + ": "
+                    + e.getOriginalMessage().lines().findFirst().orElse(""));
+        } catch (IOException e) {
+            throw new BadDocumentException(e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/fleet/config/ConfigMember.java
@@ -0,0 +1,312 @@
+package cranedeal.fleet.config;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import cranedeal.fleet.membership.CallReply;
+import cranedeal.fleet.membership.Extension;
+import cranedeal.fleet.membership.FleetMember;
+import cranedeal.fleet.membership.Member;
+import cranedeal.fleet.membership.VersionNotice;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+
+/**
+ * Runs a {@link ConfigFollower} in a member of the fleet: on the member's loop, its calls over the member's
+ * address, its disk and its trials on another thread, so that neither keeps the loop waiting.
+ */
+public final class ConfigMember implements Extension {
+
+    private static final Logger LOG = Logger.getLogger(ConfigMember.class.getPackageName());
+    private static final double NANOS_PER_MS = 1e6;
+    private static final long IDLE_S = 5;
+    /** What members serve one another in a second. */
+    private static final int MOST_SERVED_PER_S = 50;
+
+    /** Whether a section can be gone by. */
+    public interface Trial {
+
+        /**
+         * Tries a section whole, and goes by it from then on if it can; null is for none, so that only what
+         * the process has of its own counts. May take its time. Throws {@link RefusedException}, and then
+         * all is as before.
+         */
+        void tryOut(byte[] section) throws RefusedException;
+    }
+
+    /** A section can't be gone by. */
+    public static final class RefusedException extends Exception {
+
+        private static final long serialVersionUID = 1;
+        private final String key;
+
+        /**
+         * Says why.
+         *
+         * @param key the key that is at fault; empty if it is none alone
+         */
+        public RefusedException(String key, String reason) {
+            super(reason);
+            this.key = key;
+        }
+    }
+
+    /** Where a member keeps what it has; either may wait for a disk. */
+    public interface Book {
+
+        /** Keeps nothing. */
+        Book NONE = new Book() {
+
+            @Override
+            public byte[] read() {
+                return null;
+            }
+
+            @Override
+            public void write(byte[] bytes) {
+                // Nothing is kept.
+            }
+        };
+
+        /** What was written last; null if nothing was. */
+        byte[] read() throws IOException;
+
+        /** Keeps it in place of what was there. */
+        void write(byte[] bytes) throws IOException;
+    }
+
+    private final FleetMember member;
+    private final ConfigFollower.Settings settings;
+    private final Book book;
+    private final Trial trial;
+    private final Executor executor;
+    private final ConfigFollower follower;
+    private final CallBudget served = new CallBudget(MOST_SERVED_PER_S, MOST_SERVED_PER_S);
+    private double armedFor = Double.POSITIVE_INFINITY;
+    private boolean started;
+
+    /** The same with a thread of its own, which is there only while there is something to do. */
+    public ConfigMember(FleetMember member, ConfigFollower.Settings settings, Book book, Trial trial,
+            long seed) {
+        this(member, settings, book, trial, seed, ownThread());
+    }
+
+    /**
+     * A member that goes by the fleet's configuration, once {@link FleetMember#start} is called.
+     *
+     * @param seed of whatever is drawn, which must be another one in each process
+     * @param executor does one thing at a time, in order
+     */
+    public ConfigMember(FleetMember member, ConfigFollower.Settings settings, Book book, Trial trial,
+            long seed, Executor executor) {
+        this.member = member;
+        this.settings = settings;
+        this.book = book;
+        this.trial = trial;
+        this.executor = executor;
+        follower = new ConfigFollower(settings, seed, new Doing());
+        member.extend(this);
+    }
+
+    private static Executor ownThread() {
+        ThreadPoolExecutor one = new ThreadPoolExecutor(1, 1, IDLE_S, TimeUnit.SECONDS,
+                new LinkedBlockingQueue<>(), new DefaultThreadFactory("config", true));
+        one.allowCoreThreadTimeOut(true);
+        return one;
+    }
+
+    /** What was in force before is so again at once, also while an upgrade's other process is the member. */
+    @Override
+    public void starting() {
+        executor.execute(() -> {
+            FollowerState kept = FollowerState.NOTHING;
+            try {
+                byte[] bytes = book.read();
+                kept = bytes == null ? kept : FollowerState.parse(bytes);
+            } catch (IOException | RuntimeException e) {
+                LOG.warning("the configuration of before can't be read, so the fleet is asked for one: "
+                        + e.getMessage());
+            }
+            FollowerState before = kept;
+            onLoop(() -> {
+                started = true;
+                follower.start(member.now(), before);
+            });
+        });
+    }
+
+    @Override
+    public void begun() {
+        advertise(follower.held());
+    }
+
+    private void advertise(VersionId id) {
+        member.advertise(new VersionNotice(id.epoch(), id.number(), settings.service(), settings.zone()));
+    }
+
+    /** Does something on the loop, and sees to it that the follower is woken when it wants to be. */
+    private void onLoop(Runnable task) {
+        member.loop().execute(() -> {
+            task.run();
+            arm();
+        });
+    }
+
+    private void arm() {
+        double next = follower.wakeAt();
+        if (started && next < armedFor) {
+            armedFor = next;
+            member.loop().schedule(() -> {
+                armedFor = Double.POSITIVE_INFINITY;
+                follower.tick(member.now());
+                arm();
+            }, Math.max(0, (long) ((next - member.now()) * NANOS_PER_MS)), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    @Override
+    public void noticed(Member from, VersionNotice notice) {
+        follower.noticed(member.now(), from.address(), notice);
+        arm();
+    }
+
+    @Override
+    public CompletionStage<CallReply> answer(String method, String uri, byte[] body) {
+        QueryStringDecoder asked = new QueryStringDecoder(uri);
+        boolean isKnown = asked.path().equals(ConfigCalls.STATUS) || asked.path().equals(ConfigCalls.MANIFEST)
+                || asked.path().equals(ConfigCalls.SECTION);
+        if (!isKnown) {
+            return null;
+        }
+        if (!method.equals("GET")) {
+            return ConfigCalls.done(CallReply.text(ConfigCalls.NOT_ALLOWED, "another method is wanted"));
+        }
+        if (asked.path().equals(ConfigCalls.STATUS)) {
+            return ConfigCalls.done(CallReply.json(CallReply.OK, status().toString()
+                    .getBytes(StandardCharsets.UTF_8)));
+        }
+        if (!served.take(member.now())) {
+            return ConfigCalls.done(CallReply.text(ConfigCalls.UNAVAILABLE, "try again"));
+        }
+        return ConfigCalls.done(asked.path().equals(ConfigCalls.MANIFEST)
+                ? ConfigCalls.manifest(follower.state().held(), asked)
+                : ConfigCalls.section(follower.section(ConfigCalls.parameter(asked, "checksum"))));
+    }
+
+    /** What it has, for operators. */
+    private ObjectNode status() {
+        FollowerState state = follower.state();
+        ObjectNode status = Manifest.JSON.createObjectNode().put("role", member.config().role())
+                .put("name", member.config().name()).put("service", settings.service())
+                .put("zone", settings.zone()).put("held", follower.held().toString())
+                .put("in_force", state.inForce().toString());
+        if (state.refusal() != null) {
+            status.putObject("refused").put("version", follower.held().toString())
+                    .put("key", state.refusal().key()).put("reason", state.refusal().reason());
+        }
+        return status;
+    }
+
+    @Override
+    public Map<String, Long> figures() {
+        ConfigFollower.Figures of = follower.figures();
+        Map<String, Long> figures = new LinkedHashMap<>();
+        figures.put("fleet.config.epoch", of.inForce().epoch());
+        figures.put("fleet.config.number", of.inForce().number());
+        figures.put("fleet.config.held_number", of.held().number());
+        figures.put("fleet.config.refused", of.refused() ? 1L : 0L);
+        figures.put("fleet.config.calls", of.calls());
+        figures.put("fleet.config.failures", of.failures());
+        figures.put("fleet.config.damaged", of.damaged());
+        return figures;
+    }
+
+    private final class Doing implements ConfigFollower.Actions {
+
+        @Override
+        public void askManifest(long call, InetSocketAddress of, VersionId after) {
+            member.call(of, "GET", ConfigCalls.MANIFEST + "?after=" + after, new byte[0])
+                    .whenComplete((reply, failure) -> onLoop(() -> manifest(call, reply)));
+        }
+
+        private void manifest(long call, CallReply reply) {
+            double now = member.now();
+            try {
+                if (reply != null && reply.status() == ConfigCalls.NO_CONTENT) {
+                    follower.manifest(now, call, null);
+                } else if (reply != null && reply.status() == CallReply.OK) {
+                    follower.manifest(now, call, Manifest.parse(reply.body()));
+                } else {
+                    follower.failed(now, call);
+                }
+            } catch (IOException e) {
+                follower.failed(now, call);
+            }
+        }
+
+        @Override
+        public void askSection(long call, InetSocketAddress of, String checksum) {
+            member.call(of, "GET", ConfigCalls.SECTION + "?checksum=" + checksum, new byte[0])
+                    .whenComplete((reply, failure) -> onLoop(() -> {
+                        if (reply != null && reply.status() == CallReply.OK) {
+                            follower.section(member.now(), call, reply.body());
+                        } else {
+                            follower.failed(member.now(), call);
+                        }
+                    }));
+        }
+
+        @Override
+        public void tryOut(VersionId id, byte[] section) {
+            executor.execute(() -> {
+                FollowerState.Refusal refusal = null;
+                try {
+                    trial.tryOut(section);
+                } catch (RefusedException e) {
+                    refusal = new FollowerState.Refusal(e.key, e.getMessage());
+                } catch (RuntimeException e) {
+                    LOG.warning("trying version " + id + " broke off: " + e);
+                    refusal = new FollowerState.Refusal("", e.toString());
+                }
+                FollowerState.Refusal why = refusal;
+                onLoop(() -> follower.tried(member.now(), id, why));
+            });
+        }
+
+        @Override
+        public void keep(FollowerState state) {
+            executor.execute(() -> {
+                try {
+                    book.write(state.bytes());
+                } catch (IOException | RuntimeException e) {
+                    LOG.warning("the configuration in force can't be kept: " + e.getMessage());
+                }
+            });
+        }
+
+        @Override
+        public void advertise(VersionId id) {
+            ConfigMember.this.advertise(id);
+        }
+
+        @Override
+        public Collection<InetSocketAddress> coordinators() {
+            return member.present(Coordinator.ROLE).stream().map(Member::address).toList();
+        }
+
+        @Override
+        public void log(String line) {
+            LOG.info(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/fleet/config/Coordinator.java
@@ -0,0 +1,359 @@
+package cranedeal.fleet.config;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import cranedeal.fleet.membership.CallReply;
+import cranedeal.fleet.membership.Extension;
+import cranedeal.fleet.membership.FleetMember;
+import cranedeal.fleet.membership.Member;
+import cranedeal.fleet.membership.PeerBook;
+import cranedeal.fleet.membership.VersionNotice;
+import cranedeal.fleet.store.FolderDisk;
+import cranedeal.fleet.store.KeptValue;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+import java.util.stream.Collectors;
+
+/**
+ * A process that keeps the fleet's configuration: a member whose address takes the calls of operators,
+ * members and the other coordinators. The {@link ConfigLog} and its disk have a thread of their own; what is
+ * asked for often, the newest version, is answered without them.
+ */
+public final class Coordinator implements Extension, Closeable {
+
+    /** The role of coordinators among the members. */
+    public static final String ROLE = "coordinator";
+    /** How many calls of members one coordinator answers in a second; the rest are told to come again. */
+    static final int MOST_CALLS_PER_S = 200;
+    /** Calls may be as large as the largest answer to a new leader, in JSON, and as slow as a busy disk. */
+    static final FleetMember.CallLimits LIMITS = new FleetMember.CallLimits(128, 8 << 20, 5_000);
+    private static final Logger LOG = Logger.getLogger(Coordinator.class.getPackageName());
+    private static final double NANOS_PER_MS = 1e6;
+    private static final int LONGEST_WORD = 64;
+
+    private final FleetMember member;
+    private final String zone;
+    private final Map<String, InetSocketAddress> peers;
+    private final LogStore store;
+    private final ConfigLog log;
+    private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(
+            new DefaultThreadFactory("coordinator", true));
+    private final CallBudget served = servingBudget();
+    private volatile Version current;
+    private ScheduledFuture<?> armed;
+    private double armedFor = Double.POSITIVE_INFINITY;
+
+    /**
+     * A coordinator that has not started. Throws {@link IOException} if its folder can't be used.
+     *
+     * @param config its place among the members, in the role {@link #ROLE}
+     * @param peers the coordinators, by the addresses that they advertise; it may be among them
+     * @param zone where it runs; empty if that is not known
+     */
+    public Coordinator(FleetMember.Config config, List<InetSocketAddress> peers, String zone, Path folder)
+            throws IOException {
+        this.zone = zone;
+        Files.createDirectories(folder.resolve("config"));
+        store = new LogStore(new FolderDisk(folder.resolve("config")), LOG::warning);
+        KeptValue known = new KeptValue(folder.resolve("members"), LOG::warning);
+        member = new FleetMember(config, new PeerBook() {
+
+            @Override
+            public byte[] read() throws IOException {
+                return known.read();
+            }
+
+            @Override
+            public void write(byte[] bytes) throws IOException {
+                known.change(before -> bytes);
+            }
+        }, LIMITS);
+        this.peers = peers.stream().distinct().collect(Collectors.toMap(ConfigCalls::text, peer -> peer));
+        Set<String> others = new TreeSet<>(this.peers.keySet());
+        log = new ConfigLog(ConfigCalls.text(config.advertise()), others, store.state(), store, config.seed(),
+                new Doing());
+        member.extend(this);
+    }
+
+    static CallBudget servingBudget() {
+        return new CallBudget(MOST_CALLS_PER_S, MOST_CALLS_PER_S);
+    }
+
+    /** Starts it; what it takes goes on after this returns. */
+    public void start() {
+        member.start();
+    }
+
+    /** Tells the others that it leaves, and returns once its disk is free. */
+    @Override
+    public void close() throws IOException {
+        member.leave();
+        executor.shutdown();
+        try {
+            executor.awaitTermination(1, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        store.close();
+    }
+
+    // ---- On the coordinator's thread ---------------------------------------------------------------
+
+    /** Does something with the log, and sees to it that it is woken when it wants to be. */
+    private void onLog(Runnable task) {
+        if (executor.isShutdown()) {
+            return;
+        }
+        executor.execute(() -> {
+            task.run();
+            arm();
+        });
+    }
+
+    private void arm() {
+        double next = log.wakeAt();
+        if (next < armedFor && !executor.isShutdown()) {
+            if (armed != null) {
+                armed.cancel(false);
+            }
+            armedFor = next;
+            armed = executor.schedule(() -> {
+                armedFor = Double.POSITIVE_INFINITY;
+                log.tick(member.now());
+                arm();
+            }, Math.max(0, (long) ((next - member.now()) * NANOS_PER_MS)), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private final class Doing implements ConfigLog.Actions {
+
+        @Override
+        public void prepare(String to, Replication.Prepare question) {
+            call(to, ConfigCalls.PREPARE, question.json()).whenComplete((answer, failure) -> onLog(() -> {
+                if (answer != null) {
+                    log.prepared(member.now(), to, question.epoch(), answer);
+                }
+            }));
+        }
+
+        @Override
+        public void append(String to, Replication.Append question) {
+            call(to, ConfigCalls.APPEND, question.json()).whenComplete((answer, failure) -> onLog(() -> {
+                if (answer == null) {
+                    log.unreached(member.now(), to);
+                } else {
+                    log.appended(member.now(), to, answer);
+                }
+            }));
+        }
+
+        private CompletionStage<Replication.Answer> call(String to, String uri, ObjectNode question) {
+            return member.call(peers.get(to), "POST", uri + "?fleet=" + member.config().fleet(),
+                    question.toString().getBytes(StandardCharsets.UTF_8)).thenCompose(reply -> {
+                        CompletableFuture<Replication.Answer> answer = new CompletableFuture<>();
+                        try {
+                            if (reply.status() != CallReply.OK) {
+                                throw new IOException("status " + reply.status());
+                            }
+                            answer.complete(Replication.Answer.parse(Manifest.JSON.readTree(reply.body())));
+                        } catch (IOException e) {
+                            answer.completeExceptionally(e);
+                        }
+                        return answer;
+                    });
+        }
+
+        @Override
+        public void committed(Version version) {
+            current = version;
+            LOG.info("version " + version.id() + " of " + version.manifest().author()
+                    + " is on the disks of a majority");
+            member.loop().execute(Coordinator.this::advertise);
+        }
+
+        @Override
+        public void log(String line) {
+            LOG.info(line);
+        }
+    }
+
+    // ---- On the member's loop ----------------------------------------------------------------------
+
+    private void advertise() {
+        Version version = current;
+        VersionId id = version == null ? VersionId.NONE : version.id();
+        member.advertise(new VersionNotice(id.epoch(), id.number(), "", zone));
+    }
+
+    @Override
+    public void starting() {
+        // All that it does is for others, who reach it by its address.
+    }
+
+    @Override
+    public void begun() {
+        advertise();
+        onLog(() -> log.start(member.now()));
+    }
+
+    @Override
+    public void noticed(Member from, VersionNotice notice) {
+        // What it has comes from the other coordinators alone.
+    }
+
+    @Override
+    public Map<String, Long> figures() {
+        Version version = current;
+        Map<String, Long> figures = new HashMap<>();
+        figures.put("fleet.config.epoch", version == null ? 0 : version.id().epoch());
+        figures.put("fleet.config.number", version == null ? 0 : version.id().number());
+        return figures;
+    }
+
+    @Override
+    public CompletionStage<CallReply> answer(String method, String uri, byte[] body) {
+        QueryStringDecoder asked = new QueryStringDecoder(uri);
+        String wanted = switch (asked.path()) {
+            case ConfigCalls.STATUS, ConfigCalls.MANIFEST, ConfigCalls.SECTION -> "GET";
+            case ConfigCalls.PUBLISH, ConfigCalls.ROLLBACK, ConfigCalls.TAKE_OVER, ConfigCalls.PREPARE,
+                    ConfigCalls.APPEND -> "POST";
+            default -> null;
+        };
+        if (wanted == null) {
+            return null;
+        }
+        if (!wanted.equals(method)) {
+            return ConfigCalls.done(CallReply.text(ConfigCalls.NOT_ALLOWED, "another method is wanted"));
+        }
+        boolean often = asked.path().equals(ConfigCalls.MANIFEST) || asked.path().equals(ConfigCalls.SECTION);
+        if (often && !served.take(member.now())) {
+            return ConfigCalls.done(CallReply.text(ConfigCalls.UNAVAILABLE, "try again"));
+        }
+        Version version = current;
+        return switch (asked.path()) {
+            case ConfigCalls.MANIFEST -> ConfigCalls.done(ConfigCalls.manifest(version == null ? null
+                    : version.manifest(), asked));
+            case ConfigCalls.SECTION -> ConfigCalls.done(ConfigCalls.section(version == null ? null
+                    : version.section(ConfigCalls.parameter(asked, "checksum"))));
+            case ConfigCalls.STATUS -> later(reply -> reply.complete(CallReply.json(CallReply.OK,
+                    bytes(status()))));
+            case ConfigCalls.PUBLISH -> publish(asked, body);
+            case ConfigCalls.ROLLBACK -> rollback(asked);
+            case ConfigCalls.TAKE_OVER -> later(reply -> log.takeOver(member.now(), told(reply)));
+            default -> replicate(asked, body);
+        };
+    }
+
+    private interface Task {
+
+        void run(CompletableFuture<CallReply> reply) throws IOException;
+    }
+
+    /** Answers on the coordinator's thread. */
+    private CompletionStage<CallReply> later(Task task) {
+        CompletableFuture<CallReply> reply = new CompletableFuture<>();
+        onLog(() -> {
+            try {
+                task.run(reply);
+            } catch (IOException | IllegalArgumentException e) {
+                reply.complete(CallReply.text(ConfigCalls.BAD_REQUEST, e.getMessage()));
+            }
+        });
+        return reply;
+    }
+
+    private CompletionStage<CallReply> replicate(QueryStringDecoder asked, byte[] body) {
+        return later(reply -> {
+            if (!ConfigCalls.parameter(asked, "fleet").equals(member.config().fleet())) {
+                throw new IOException("this is a coordinator of " + member.config().fleet());
+            }
+            var json = Manifest.JSON.readTree(body);
+            Replication.Answer answer = asked.path().equals(ConfigCalls.PREPARE)
+                    ? log.prepare(member.now(), Replication.Prepare.parse(json))
+                    : log.append(member.now(), Replication.Append.parse(json));
+            reply.complete(CallReply.json(CallReply.OK, bytes(answer.json())));
+        });
+    }
+
+    private CompletionStage<CallReply> publish(QueryStringDecoder asked, byte[] body) {
+        return later(reply -> {
+            SortedMap<String, byte[]> sections;
+            try {
+                sections = ConfigDocument.parse(body);
+            } catch (ConfigDocument.BadDocumentException e) {
+                throw new IOException(e.getMessage(), e);
+            }
+            log.publish(member.now(), word(asked, "operation"), word(asked, "author"),
+                    System.currentTimeMillis(), "", sections, told(reply));
+        });
+    }
+
+    private CompletionStage<CallReply> rollback(QueryStringDecoder asked) {
+        return later(reply -> log.rollback(member.now(), Long.parseLong(word(asked, "number")),
+                word(asked, "operation"), word(asked, "author"), System.currentTimeMillis(), told(reply)));
+    }
+
+    private static String word(QueryStringDecoder asked, String name) {
+        String word = ConfigCalls.parameter(asked, name);
+        if (word.isBlank() || word.length() > LONGEST_WORD) {
+            throw new IllegalArgumentException(name + " has to have 1 to " + LONGEST_WORD + " characters");
+        }
+        return word;
+    }
+
+    private ConfigLog.Reply told(CompletableFuture<CallReply> reply) {
+        return (result, id, why) -> {
+            int status = switch (result) {
+                case DONE -> CallReply.OK;
+                case NOT_LEADER -> ConfigCalls.CONFLICT;
+                case UNKNOWN -> ConfigCalls.UNAVAILABLE;
+                case REFUSED -> ConfigCalls.UNPROCESSABLE;
+            };
+            reply.complete(CallReply.json(status, bytes(Manifest.JSON.createObjectNode()
+                    .put("result", result.name().toLowerCase(java.util.Locale.ROOT))
+                    .put("version", id.toString()).put("why", why).put("epoch", log.epoch())
+                    .put("leader", log.leader()))));
+        };
+    }
+
+    private static byte[] bytes(ObjectNode json) {
+        return json.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** What it has, for operators. */
+    private ObjectNode status() {
+        ObjectNode status = Manifest.JSON.createObjectNode().put("role", ROLE)
+                .put("name", member.config().name()).put("zone", zone).put("epoch", log.epoch())
+                .put("leader", log.leader()).put("leads", log.leads())
+                .put("committed", (log.current() == null ? VersionId.NONE : log.current().id()).toString())
+                .put("coordinators", peers.size());
+        ArrayNode versions = status.putArray("versions");
+        log.versions().values().forEach(version -> versions.addObject()
+                .put("version", version.id().toString())
+                .put("author", version.manifest().author()).put("time_ms", version.manifest().timeMs())
+                .put("note", version.manifest().note()).put("operation", version.manifest().operation())
+                .put("bytes", version.size())
+                .put("committed", !version.id().isAfter(log.current() == null ? VersionId.NONE
+                : log.current().id())));
+        return status;
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/fleet/config/LogState.java
@@ -0,0 +1,36 @@
+package cranedeal.fleet.config;
+
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** What a coordinator keeps, as it was read back or as it is now. */
+final class LogState {
+
+    long promised;
+    String leader = "";
+    boolean elected;
+    VersionId committed = VersionId.NONE;
+    final SortedMap<VersionId, Version> versions = new TreeMap<>();
+
+    void promise(long epoch, String to, boolean isElected) {
+        promised = epoch;
+        leader = to;
+        elected = isElected;
+    }
+
+    void retain(Set<VersionId> ids, VersionId isCommitted) {
+        versions.keySet().retainAll(ids);
+        committed = isCommitted;
+    }
+
+    /** The latest version, committed or not; null if there is none. */
+    Version newest() {
+        return versions.isEmpty() ? null : versions.get(versions.lastKey());
+    }
+
+    /** The latest version that a majority has; null if there is none. */
+    Version current() {
+        return versions.get(committed);
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/fleet/config/VersionId.java
@@ -0,0 +1,48 @@
+package cranedeal.fleet.config;
+
+/**
+ * What tells one version from all others, and which is the later one. There is one leader in an epoch, so no
+ * two documents have one.
+ *
+ * @param epoch of the leader that published it; from 1
+ * @param number which grows over all epochs; from 1
+ */
+public record VersionId(long epoch, long number) implements Comparable<VersionId> {
+
+    /** Before all versions. */
+    public static final VersionId NONE = new VersionId(0, 0);
+    /** Numbers that JSON holds exactly. */
+    private static final long HIGHEST = (1L << 53) - 1;
+
+    /** Throws {@link IllegalArgumentException} for numbers that no version has. */
+    public VersionId {
+        if (epoch < 0 || number < 0 || epoch > HIGHEST || number > HIGHEST) {
+            throw new IllegalArgumentException("no version: " + epoch + "." + number);
+        }
+    }
+
+    /** Reads what {@link #toString} wrote; throws {@link IllegalArgumentException}. */
+    public static VersionId parse(String text) {
+        int dot = text.indexOf('.');
+        try {
+            return new VersionId(Long.parseLong(text.substring(0, Math.max(0, dot))),
+                    Long.parseLong(text.substring(dot + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("'" + text + "' is no version, as EPOCH.NUMBER is", e);
+        }
+    }
+
+    @Override
+    public int compareTo(VersionId other) {
+        return epoch != other.epoch ? Long.compare(epoch, other.epoch) : Long.compare(number, other.number);
+    }
+
+    boolean isAfter(VersionId other) {
+        return compareTo(other) > 0;
+    }
+
+    @Override
+    public String toString() {
+        return epoch + "." + number;
+    }
+}
--- a/src/main/java/cranedeal/fleet/membership/Actions.java
+++ b/src/main/java/cranedeal/fleet/membership/Actions.java
@@ -22,6 +22,11 @@
     /** This member reaches less than half of those it knows, or does again. */
     void isolated(boolean isIsolated);
 
+    /** A member tells, itself, of the configuration that it has; may be called often with the same. */
+    default void noticed(Member from, VersionNotice notice) {
+        // Who has none of it need not know.
+    }
+
     /** A later process has taken this one's name; it is a member no longer. */
     void superseded(Member by);
 }
--- a/src/main/java/cranedeal/fleet/membership/Codec.java
+++ b/src/main/java/cranedeal/fleet/membership/Codec.java
@@ -29,6 +29,8 @@
     private static final int ITEM = 20 + 21 + 20 + 17;
     /** The same of a message: keys, form, kind, digest, number and one address. */
     private static final int HEAD = 75 + 21 + 2 * 20;
+    /** Of a notice: key, brackets, commas, quotes, and the longest of its numbers. */
+    private static final int NOTICE = 14 + 2 * 16;
 
     private final String fleet;
 
@@ -60,6 +62,11 @@
         return HEAD + fleet.length() + to.length() + size(new News(from, ""));
     }
 
+    /** How many bytes a notice takes in a message, at most. */
+    static int size(VersionNotice notice) {
+        return notice == null ? 0 : NOTICE + notice.service().length() + notice.zone().length();
+    }
+
     byte[] encode(Message message) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(LARGEST);
         try (JsonGenerator json = JSON.createGenerator(bytes)) {
@@ -74,6 +81,15 @@
             json.writeNumberField("d", message.digest());
             json.writeFieldName("m");
             write(json, new News(message.from(), ""));
+            VersionNotice notice = message.notice();
+            if (notice != null) {
+                json.writeArrayFieldStart("c");
+                json.writeNumber(notice.epoch());
+                json.writeNumber(notice.number());
+                json.writeString(notice.service());
+                json.writeString(notice.zone());
+                json.writeEndArray();
+            }
             json.writeArrayFieldStart("news");
             for (News news : message.news()) {
                 write(json, news);
@@ -136,12 +152,25 @@
             }
             InetSocketAddress at = kind == Message.Kind.ASK ? address(root.path("at").asText()) : null;
             return new Message(kind, root.path("n").asLong(), to, at, news(root.path("m")).member(),
-                    root.path("d").asLong(), List.copyOf(news));
+                    root.path("d").asLong(), List.copyOf(news), notice(root.path("c")));
         } catch (IllegalArgumentException e) {
             throw new IOException(e.getMessage(), e);
         }
     }
 
+    /** Null where there is none, or one that this version does not understand: the rest still counts. */
+    private static VersionNotice notice(JsonNode given) {
+        if (!given.path(0).canConvertToLong() || !given.path(1).canConvertToLong()) {
+            return null;
+        }
+        try {
+            return new VersionNotice(given.path(0).longValue(), given.path(1).longValue(),
+                    given.path(2).asText(), given.path(3).asText());
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
     /** What {@link #encode(List)} wrote; throws as {@link #decode} does. */
     List<Member> decodeMembers(byte[] bytes) throws IOException {
         JsonNode root = root(bytes);
--- a/src/main/java/cranedeal/fleet/membership/FleetMember.java
+++ b/src/main/java/cranedeal/fleet/membership/FleetMember.java
@@ -21,12 +21,14 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.EventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -62,6 +64,7 @@
             new DefaultThreadFactory("member-disk", true));
     private final MemberCalls calls;
     private final long origin = System.nanoTime();
+    private Extension extension;
     private Membership core;
     private Channel datagrams;
     private Channel listening;
@@ -88,12 +91,73 @@
     public record Config(String fleet, String name, InetSocketAddress listen, InetSocketAddress advertise,
             List<InetSocketAddress> seeds, String role, String version, Settings settings, long seed) { }
 
+    /**
+     * What a member spends on calls.
+     *
+     * @param connections that are open to it at a time
+     * @param bodyBytes the largest body of a call
+     * @param patienceMs how long a call takes at most
+     */
+    public record CallLimits(int connections, int bodyBytes, long patienceMs) {
+
+        /** Usual limits. */
+        public static final CallLimits USUAL = new CallLimits(16, 1 << 20, 2_000);
+    }
+
     /** A member that has not started. */
     public FleetMember(Config config, PeerBook book) {
+        this(config, book, CallLimits.USUAL);
+    }
+
+    /** The same with other limits. */
+    public FleetMember(Config config, PeerBook book, CallLimits limits) {
         this.config = config;
         this.book = book;
         codec = new Codec(config.fleet());
-        calls = new MemberCalls(this, loop);
+        calls = new MemberCalls(this, loop, limits);
+    }
+
+    /** Lets it do more than membership; before it starts. */
+    public void extend(Extension with) {
+        extension = with;
+    }
+
+    Extension extension() {
+        return extension;
+    }
+
+    /** The loop on which all of it runs. */
+    public EventExecutor loop() {
+        return loop;
+    }
+
+    /** The configuration of this member. */
+    public Config config() {
+        return config;
+    }
+
+    /** Tells of the configuration that this member has, from now on; on its loop, once it has begun. */
+    public void advertise(VersionNotice notice) {
+        if (core != null && !ended) {
+            core.advertise(now(), notice);
+            arm();
+        }
+    }
+
+    /** Those of a role that are present in its view; on its loop. */
+    public List<Member> present(String role) {
+        return core == null ? List.of() : core.seen(now()).stream().map(Membership.Seen::member)
+                .filter(member -> member.role().equals(role) && member.state().isPresent()).toList();
+    }
+
+    /**
+     * Calls another process of the fleet; from any thread. Fails with an {@link IOException} if no answer
+     * comes in time.
+     */
+    public CompletableFuture<CallReply> call(InetSocketAddress to, String method, String uri, byte[] body) {
+        CompletableFuture<CallReply> reply = new CompletableFuture<>();
+        loop.execute(() -> calls.call(to, method, uri, body, reply));
+        return reply;
     }
 
     /** Starts it; what it takes goes on after this returns. */
@@ -101,7 +165,12 @@
         loop.scheduleAtFixedRate(this::publish, 0, PUBLISH_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::persist, PERSIST_MS, PERSIST_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::tellUntold, LINES_MS, LINES_MS, TimeUnit.MILLISECONDS);
-        loop.execute(this::bind);
+        loop.execute(() -> {
+            if (extension != null) {
+                extension.starting();
+            }
+            bind();
+        });
     }
 
     /** Goes without a word, as another process goes on as this member; returns once the address is free. */
@@ -130,7 +199,8 @@
         return figures;
     }
 
-    double now() {
+    /** Milliseconds since some moment of this process. */
+    public double now() {
         return (System.nanoTime() - origin) / NANOS_PER_MS;
     }
 
@@ -218,6 +288,9 @@
         LOG.info("is " + config.name() + " of the fleet " + config.fleet() + " at "
                 + Codec.text(config.advertise()));
         arm();
+        if (extension != null) {
+            extension.begun();
+        }
     }
 
     // ---- Events ------------------------------------------------------------------------------------
@@ -316,6 +389,13 @@
             }
         }
 
+        @Override
+        public void noticed(Member from, VersionNotice notice) {
+            if (extension != null) {
+                extension.noticed(from, notice);
+            }
+        }
+
         @Override
         public void superseded(Member by) {
             LOG.warning("another process, at " + Codec.text(by.address()) + ", has the name " + by.name()
@@ -382,6 +462,10 @@
         now.put("fleet.dropped", dropped);
         now.put("fleet.foreign", foreign);
         now.put("fleet.syncs", calls.syncs());
+        now.put("fleet.calls_refused", calls.refused());
+        if (extension != null) {
+            now.putAll(extension.figures());
+        }
         figures = now;
     }
 
--- a/src/main/java/cranedeal/fleet/membership/MemberCalls.java
+++ b/src/main/java/cranedeal/fleet/membership/MemberCalls.java
@@ -27,6 +27,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -36,24 +38,32 @@
 final class MemberCalls {
 
     private static final String SYNC = "/fleet/sync";
-    private static final int MOST_BODY = 1 << 20;
-    private static final int MOST_CONNECTIONS = 16;
-    private static final long PATIENCE_MS = 2_000;
+    /** Calls of this member that are under way at a time. */
+    private static final int MOST_CALLS = 16;
     /** Full exchanges that are answered in a second; the rest are told to come again. */
     private static final int MOST_SYNCS = 20;
     private static final double SECOND = 1_000;
 
     private final FleetMember member;
     private final EventLoop loop;
+    private final FleetMember.CallLimits limits;
     private int open;
+    private int calling;
+    private long refused;
     private boolean syncing;
     private long syncs;
     private int answered;
     private double countedFrom = Double.NEGATIVE_INFINITY;
 
-    MemberCalls(FleetMember member, EventLoop loop) {
+    MemberCalls(FleetMember member, EventLoop loop, FleetMember.CallLimits limits) {
         this.member = member;
         this.loop = loop;
+        this.limits = limits;
+    }
+
+    /** Connections that were closed at once, as too many were open. */
+    long refused() {
+        return refused;
     }
 
     long syncs() {
@@ -63,28 +73,33 @@
     private void limit(Channel channel) {
         loop.schedule(() -> {
             channel.close();
-        }, PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }, limits.patienceMs(), TimeUnit.MILLISECONDS);
     }
 
     // ---- Served ------------------------------------------------------------------------------------
 
     void accepted(Channel channel) {
-        if (open >= MOST_CONNECTIONS) {
+        if (open >= limits.connections()) {
+            refused++;
             channel.close();
             return;
         }
         open++;
         channel.closeFuture().addListener(closed -> open--);
         limit(channel);
-        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(limits.bodyBytes()),
                 new SimpleChannelInboundHandler<FullHttpRequest>() {
 
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-                        FullHttpResponse answer = answer(request);
-                        answer.headers().set("Content-Length", answer.content().readableBytes())
-                                .set("Connection", "close");
-                        ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+                        CompletionStage<CallReply> later = extended(request);
+                        if (later == null) {
+                            write(ctx, answer(request));
+                        } else {
+                            later.whenComplete((reply, failure) -> loop.execute(() -> write(ctx,
+                                    failure == null ? response(reply) : text(
+                                    HttpResponseStatus.INTERNAL_SERVER_ERROR, failure + "\n"))));
+                        }
                     }
 
                     @Override
@@ -94,6 +109,25 @@
                 });
     }
 
+    private static void write(ChannelHandlerContext ctx, FullHttpResponse answer) {
+        answer.headers().set("Content-Length", answer.content().readableBytes()).set("Connection", "close");
+        ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** What the extension answers; null if that has no such call. */
+    private CompletionStage<CallReply> extended(FullHttpRequest request) {
+        return member.extension() == null || !request.decoderResult().isSuccess() ? null
+                : member.extension().answer(request.method().name(), request.uri(),
+                ByteBufUtil.getBytes(request.content()));
+    }
+
+    private static FullHttpResponse response(CallReply reply) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(reply.body()));
+        response.headers().set("Content-Type", reply.type());
+        return response;
+    }
+
     private FullHttpResponse answer(FullHttpRequest request) {
         boolean asks = request.uri().equals(FleetMember.VIEW_PATH);
         if (!request.decoderResult().isSuccess()) {
@@ -158,43 +192,81 @@
         if (syncing) {
             return;
         }
+        byte[] known;
+        try {
+            known = member.known();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        if (known == null) {
+            return;
+        }
         syncing = true;
         syncs++;
+        CompletableFuture<CallReply> reply = new CompletableFuture<>();
+        call(with, "POST", SYNC, known, reply);
+        reply.whenComplete((answer, failure) -> {
+            syncing = false;
+            try {
+                if (answer != null && answer.status() == CallReply.OK) {
+                    member.merge(answer.body());
+                }
+            } catch (IOException e) {
+                // As good as no answer.
+            }
+        });
+    }
+
+    /** Calls another process, and tells what it answers, or that it does not. */
+    void call(InetSocketAddress to, String method, String uri, byte[] body,
+            CompletableFuture<CallReply> reply) {
+        if (calling >= MOST_CALLS) {
+            reply.completeExceptionally(new IOException(MOST_CALLS + " calls are under way"));
+            return;
+        }
+        calling++;
         ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) PATIENCE_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) limits.patienceMs())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpClientCodec(),
-                                new HttpObjectAggregator(MOST_BODY), new Answer());
+                                new HttpObjectAggregator(limits.bodyBytes()), new Answer(reply));
                     }
                 })
                 // From the address by which others know this member.
-                .connect(with, new InetSocketAddress(member.own().getAddress(), 0));
-        connected.channel().closeFuture().addListener(closed -> syncing = false);
+                .connect(to, new InetSocketAddress(member.own().getAddress(), 0));
+        connected.channel().closeFuture().addListener(closed -> {
+            calling--;
+            reply.completeExceptionally(new IOException("no answer from " + Codec.text(to)));
+        });
         connected.addListener(done -> {
-            byte[] known = done.isSuccess() ? member.known() : null;
-            if (known == null) {
+            if (!done.isSuccess()) {
                 connected.channel().close();
                 return;
             }
             limit(connected.channel());
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, SYNC,
-                    Unpooled.wrappedBuffer(known));
-            request.headers().set("Host", Codec.text(with)).set("Content-Type", "application/json")
-                    .set("Content-Length", known.length).set("Connection", "close");
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                    HttpMethod.valueOf(method), uri, Unpooled.wrappedBuffer(body));
+            request.headers().set("Host", Codec.text(to)).set("Content-Type", "application/json")
+                    .set("Content-Length", body.length).set("Connection", "close");
             connected.channel().writeAndFlush(request);
         });
     }
 
-    private final class Answer extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private static final class Answer extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        private final CompletableFuture<CallReply> reply;
+
+        Answer(CompletableFuture<CallReply> reply) {
+            this.reply = reply;
+        }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) throws IOException {
-            if (response.status().equals(HttpResponseStatus.OK)) {
-                member.merge(ByteBufUtil.getBytes(response.content()));
-            }
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            reply.complete(new CallReply(response.status().code(),
+                    response.headers().get("Content-Type", ""), ByteBufUtil.getBytes(response.content())));
             ctx.close();
         }
 
--- a/src/main/java/cranedeal/fleet/membership/Membership.java
+++ b/src/main/java/cranedeal/fleet/membership/Membership.java
@@ -77,6 +77,10 @@
     private int turn;
     private int reminders;
     private boolean gossiping;
+    /** What is told of the configuration in each datagram; null if nothing is. */
+    private VersionNotice notice;
+    /** How many rounds of news are owed to it. */
+    private int noticeRounds;
     private boolean over;
     private boolean isolated;
     private long refused;
@@ -199,6 +203,17 @@
                 .forEach(member -> view.add(member, now));
     }
 
+    /** Tells of the configuration that this member has, from now on; one that is later is news. */
+    public void advertise(double time, VersionNotice given) {
+        begin(time);
+        boolean isNews = given != null && given.number() > 0 && given.isLaterThan(notice);
+        notice = given;
+        if (isNews && !over) {
+            noticeRounds = Settings.noticeRounds(view.present() + 1);
+            gossipSoon();
+        }
+    }
+
     /** Tells the others that this member leaves, and does nothing more. */
     public void leave(double time) {
         begin(time);
@@ -446,6 +461,9 @@
             if (agrees(entry)) {
                 entry.agreedAt = now;
             }
+            if (message.notice() != null) {
+                actions.noticed(entry.member, message.notice());
+            }
         }
         for (News item : message.news()) {
             if (!over) {
@@ -515,6 +533,10 @@
 
     private void tell(News item, boolean important) {
         news.add(item, important);
+        gossipSoon();
+    }
+
+    private void gossipSoon() {
         if (!gossiping) {
             gossiping = true;
             timers.at(now + settings.gossipMs() * random.nextDouble(), this::gossip);
@@ -522,11 +544,13 @@
     }
 
     private void gossip() {
-        gossiping = news.size() > 0;
+        boolean owed = noticeRounds > 0;
+        gossiping = news.size() > 0 || owed;
         if (gossiping) {
+            noticeRounds = Math.max(0, noticeRounds - 1);
             timers.at(now + settings.gossipMs(), this::gossip);
             for (Entry entry : view.some(Settings.FAN_OUT, null)) {
-                if (news.size() > 0) {
+                if (news.size() > 0 || owed) {
                     send(Message.Kind.NEWS, 0, "", null, entry);
                 }
             }
@@ -642,12 +666,13 @@
 
     private void send(Message.Kind kind, long its, String to, InetSocketAddress at,
             InetSocketAddress address, List<News> first) {
-        int left = Codec.LARGEST - Codec.headSize(fleet, to, self);
+        int left = Codec.LARGEST - Codec.headSize(fleet, to, self) - Codec.size(notice);
         for (News item : first) {
             left -= Codec.size(item);
         }
         List<News> all = new ArrayList<>(first);
         all.addAll(news.take(left, view.present() + 1));
-        actions.send(address, new Message(kind, its, to, at, self, digest(), List.copyOf(all)));
+        actions.send(address, new Message(kind, its, to, at, self, digest(), List.copyOf(all),
+                notice));
     }
 }
--- a/src/main/java/cranedeal/fleet/membership/Message.java
+++ b/src/main/java/cranedeal/fleet/membership/Message.java
@@ -13,9 +13,16 @@
  * @param at where that member is, in {@link Kind#ASK}; otherwise null
  * @param from the sender as it thinks of itself
  * @param digest of the sender's view
+ * @param notice of the configuration that the sender has; null if it says nothing of any
  */
 public record Message(Kind kind, long number, String to, InetSocketAddress at, Member from, long digest,
-        List<News> news) {
+        List<News> news, VersionNotice notice) {
+
+    /** A message that says nothing of any configuration. */
+    public Message(Kind kind, long number, String to, InetSocketAddress at, Member from, long digest,
+            List<News> news) {
+        this(kind, number, to, at, from, digest, news, null);
+    }
 
     /** How many bytes it takes, in a fleet of that name. */
     public int size(String fleet) {
--- a/src/main/java/cranedeal/fleet/membership/Settings.java
+++ b/src/main/java/cranedeal/fleet/membership/Settings.java
@@ -103,6 +103,11 @@
         return (int) Math.ceil((important ? SENDS : SENDS_OF_SUSPICION) * Math.log10(members + 1.0));
     }
 
+    /** In how many rounds of news a member tells of a version of the configuration that it has now. */
+    static int noticeRounds(int members) {
+        return 1 + (int) Math.ceil(Math.log10(members + 1.0));
+    }
+
     /** How long a suspicion lasts at least. */
     double leastSuspicionMs(int members) {
         return periodMs * Math.max(1, LEAST_SUSPICION * Math.log10(members));
--- a/src/main/java/cranedeal/node/Fleet.java
+++ b/src/main/java/cranedeal/node/Fleet.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import cranedeal.fleet.command.Program;
+import cranedeal.fleet.config.ConfigFollower;
+import cranedeal.fleet.config.ConfigMember;
 import cranedeal.fleet.membership.FleetMember;
 import cranedeal.fleet.membership.Member;
 import cranedeal.fleet.membership.PeerBook;
@@ -16,6 +18,8 @@
 import java.util.TreeSet;
 import java.util.concurrent.Callable;
 import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * The one class of this package that knows the fleet's packages. It is loaded only where they are asked for,
@@ -25,6 +29,9 @@
 
     /** A balancer's memory holds so many with ease. */
     private static final int MOST_MEMBERS = 2_000;
+    /** The key in what is said of a configuration that can't be gone by. */
+    private static final Pattern KEY = Pattern.compile("\\bsetting ([\\w.]+) |"
+            + "\\b(discovery|settings[\\w.]*)");
 
     private Fleet() {
     }
@@ -51,8 +58,19 @@
         Member.requireName(name);
     }
 
-    /** Makes this process a member of a fleet, as the configuration wants it. */
-    static Presence member(NodeConfig config) {
+    /** Takes what the fleet has published for a balancer's service. */
+    interface Published {
+
+        /** Goes by it; null for nothing. Throws {@link ConfigException}, and then all is as before. */
+        void take(JsonNode section) throws ConfigException, InterruptedException;
+    }
+
+    /**
+     * Makes this process a member of a fleet, as the configuration wants it.
+     *
+     * @param to told what the fleet publishes, if the configuration names a service
+     */
+    static Presence member(NodeConfig config, Published to) {
         FleetConfig given = config.fleet();
         Package program = Program.class.getPackage();
         String version = program.getImplementationVersion();
@@ -74,6 +92,11 @@
                         peers.change(before -> bytes);
                     }
                 });
+        if (given.service() != null) {
+            new ConfigMember(member, ConfigFollower.Settings.usual(given.service(), given.zone()),
+                    given.stateDir() == null ? ConfigMember.Book.NONE : new KeptConfig(given.stateDir()),
+                    section -> take(section, to), new SecureRandom().nextLong());
+        }
         member.start();
         return new Presence() {
 
@@ -94,6 +117,42 @@
         };
     }
 
+    private static void take(byte[] section, Published to) throws ConfigMember.RefusedException {
+        try {
+            to.take(section == null ? null : NodeConfig.JSON.readTree(section));
+        } catch (ConfigException e) {
+            Matcher named = KEY.matcher(e.getMessage());
+            String key = !named.find() ? "" : named.group(1) != null ? "settings." + named.group(1)
+                    : named.group(2);
+            throw new ConfigMember.RefusedException(key, e.getMessage());
+        } catch (IOException e) {
+            throw new ConfigMember.RefusedException("", "it is no JSON: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new ConfigMember.RefusedException("", "interrupted");
+        }
+    }
+
+    /** The configuration that a member has, in a store. */
+    private static final class KeptConfig implements ConfigMember.Book {
+
+        private final KeptValue kept;
+
+        KeptConfig(Path stateDir) {
+            kept = new KeptValue(stateDir.resolve("config"), Node.LOG::warning);
+        }
+
+        @Override
+        public byte[] read() throws IOException {
+            return kept.read();
+        }
+
+        @Override
+        public void write(byte[] bytes) throws IOException {
+            kept.change(before -> bytes);
+        }
+    }
+
     /** Orders in a store: each record has them whole, and the last one holds. */
     private static final class KeptOrders implements OrderBook {
 
--- a/src/main/java/cranedeal/node/FleetConfig.java
+++ b/src/main/java/cranedeal/node/FleetConfig.java
@@ -16,12 +16,14 @@
  * @param seeds where others may be
  * @param stateDir where the members that it knew are kept; null if they are not
  * @param periodMs how often it probes another member
+ * @param service whose section of the fleet's configuration it goes by; null if by none
+ * @param zone where it runs, as the settings say; empty if they don't
  */
 record FleetConfig(String name, InetSocketAddress listen, InetSocketAddress advertise,
-        List<InetSocketAddress> seeds, Path stateDir, double periodMs) {
+        List<InetSocketAddress> seeds, Path stateDir, double periodMs, String service, String zone) {
 
     private static final Set<String> KEYS = Set.of("name", "listen", "advertise", "seeds", "state_dir",
-            "probe_period_ms");
+            "probe_period_ms", "service");
     private static final double USUAL_PERIOD_MS = 1_000;
     private static final double SHORTEST_PERIOD_MS = 100;
     private static final double LONGEST_PERIOD_MS = 60_000;
@@ -55,7 +57,26 @@
         }
         return new FleetConfig(name, listen, given.has("advertise")
                 ? address(given.path("advertise"), "fleet.advertise") : listen, List.copyOf(seeds),
-                folder(given), period);
+                folder(given), period, service(given), zone(root.path("settings")));
+    }
+
+    private static String service(JsonNode given) {
+        if (!given.has("service")) {
+            return null;
+        }
+        requireName("fleet.service", given.path("service").asText());
+        return given.path("service").textValue();
+    }
+
+    /** Only says who is near, so one that can't be told stops nothing. */
+    private static String zone(JsonNode settings) {
+        String zone = settings.path("zones").path(settings.path("zone").asInt(-1)).asText("");
+        try {
+            Fleet.requireName(zone);
+            return zone;
+        } catch (IllegalArgumentException e) {
+            return "";
+        }
     }
 
     private static Path folder(JsonNode given) {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -1,5 +1,6 @@
 package cranedeal.node;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import cranedeal.LatencyWeightedBalancer;
 import cranedeal.LoadBalancer;
 import cranedeal.LoadBalancer.Change;
@@ -91,6 +92,8 @@
     private final LearntKeeper keeper;
     /** Its place among the members of a fleet; null if it is of none. */
     private volatile Presence presence;
+    /** What the fleet has published for this balancer's service; null if nothing is in force. */
+    private JsonNode published;
     /** What operators want. */
     private Orders orders = Orders.NONE;
     /** Where the orders are kept, with {@link #succession}. */
@@ -172,7 +175,7 @@
             node.inSuccession(Succession::serve);
         }
         if (config.fleet() != null) {
-            node.presence = Fleet.member(config);
+            node.presence = Fleet.member(config, node::takePublished);
         }
         return node;
     }
@@ -518,7 +521,7 @@
 
     private synchronized boolean read(String path) throws InterruptedException {
         try {
-            NodeConfig replaced = NodeConfig.read(path, config);
+            NodeConfig replaced = NodeConfig.read(path, config, published);
             loop.submit(() -> retune(replaced)).sync();
             return true;
         } catch (ConfigException e) {
@@ -527,6 +530,16 @@
         }
     }
 
+    /**
+     * Lays what the fleet has published for this balancer's service over its own file, as from now on each
+     * reload does; null for nothing. Throws {@link ConfigException}, and then all is as before.
+     */
+    synchronized void takePublished(JsonNode section) throws ConfigException, InterruptedException {
+        NodeConfig replaced = NodeConfig.read(config.path(), config, section);
+        loop.submit(() -> retune(replaced)).sync();
+        published = section;
+    }
+
     /** The other process of this balancer has heard a signal, and this one may not. */
     private void follow() {
         // Not on the node's loop, which is to serve meanwhile.
--- a/src/main/java/cranedeal/node/NodeConfig.java
+++ b/src/main/java/cranedeal/node/NodeConfig.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import cranedeal.LoadBalancer.Settings;
 import cranedeal.wire.MalformedInputException;
 import cranedeal.wire.SettingsParser;
@@ -24,7 +25,8 @@
  * @param admin where operators call; null if they don't
  * @param sockets how many file descriptors the process may hold
  * @param zones the names of the zones, by the index that the module uses; likewise the others
- * @param keys the keys that the file has, in the settings' classes only those that all with one effect have
+ * @param keys the keys that the file itself has, in the settings' classes only those that all with one effect
+ *     have
  * @param known the upstreams as this balancer last had them
  * @param stateDir where what must outlast a power loss is kept; null if nothing is
  * @param fleet of which fleet it is a member; null if of none
@@ -38,21 +40,29 @@
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
     private static final String CLASS = "a class that is ";
 
-    /** Reads a file that is to replace the one in force: whatever that has, it must have too. */
-    static NodeConfig read(String path, NodeConfig inForce) throws ConfigException {
-        NodeConfig config = read(path);
-        for (String key : inForce.keys) {
+    /**
+     * Reads a file that is to replace the one in force: whatever that has, it must have too.
+     *
+     * @param section what the fleet has published, which goes before the file; null if nothing
+     */
+    static NodeConfig read(String path, NodeConfig inForce, JsonNode section) throws ConfigException {
+        NodeConfig config = read(path, section);
+        requireKeys(path, inForce.keys, config.keys);
+        if (!startsWith(config.zones, inForce.zones) || !startsWith(config.kinds, inForce.kinds)) {
+            throw new ConfigException(path + ": zones and machine types in use can't change in service");
+        }
+        return config;
+    }
+
+    private static void requireKeys(String path, Set<String> wanted, Set<String> given)
+            throws ConfigException {
+        for (String key : wanted) {
             // There need not be a class with each effect.
             String effect = key.startsWith(CLASS) ? key.substring(0, key.lastIndexOf('.')) : null;
-            boolean wanted = effect == null || config.keys.contains(effect + ".idempotency");
-            if (wanted && !config.keys.contains(key)) {
+            if ((effect == null || given.contains(effect + ".idempotency")) && !given.contains(key)) {
                 throw new ConfigException(path + ": " + key + " is missing");
             }
         }
-        if (!startsWith(config.zones, inForce.zones) || !startsWith(config.kinds, inForce.kinds)) {
-            throw new ConfigException(path + ": zones and machine types in use can't change in service");
-        }
-        return config;
     }
 
     private static boolean startsWith(List<String> names, List<String> first) {
@@ -60,11 +70,22 @@
     }
 
     static NodeConfig read(String path) throws ConfigException {
+        return read(path, (JsonNode) null);
+    }
+
+    private static NodeConfig read(String path, JsonNode section) throws ConfigException {
         if (path == null || path.isEmpty()) {
             throw new ConfigException("PROXY_CONFIG names no file");
         }
         try {
-            return parse(path, JSON.readTree(Path.of(path).toFile()));
+            JsonNode root = JSON.readTree(Path.of(path).toFile());
+            // What the file has has to be there with the section too, and the section's can go again.
+            Set<String> keys = keys(root);
+            if (section != null && root instanceof ObjectNode own) {
+                lay(section, own);
+                requireKeys(path, keys, keys(root));
+            }
+            return parse(path, root, keys);
         } catch (IOException e) {
             String why = e.getMessage().lines().findFirst().orElse("");
             throw new ConfigException("cannot read " + path + ": " + why);
@@ -73,7 +94,18 @@
         }
     }
 
-    private static NodeConfig parse(String path, JsonNode root) {
+    /** Puts one object's values in place of another's; objects within are laid likewise, lists as a whole. */
+    private static void lay(JsonNode section, ObjectNode over) {
+        for (Map.Entry<String, JsonNode> field : section.properties()) {
+            if (field.getValue().isObject() && over.get(field.getKey()) instanceof ObjectNode inner) {
+                lay(field.getValue(), inner);
+            } else {
+                over.set(field.getKey(), field.getValue());
+            }
+        }
+    }
+
+    private static NodeConfig parse(String path, JsonNode root, Set<String> keys) {
         JsonNode given = root.path("settings");
         if (!given.isObject()) {
             throw new IllegalArgumentException("settings is missing");
@@ -94,7 +126,7 @@
         return new NodeConfig(path, root.path("name").asText("balancer"), address(root, "listen"),
                 admin(root), address(root, "discovery"), seed(root.path("seed").asText("")),
                 root.path("limits").path("sockets").asInt(1_024), settings, zones, kinds,
-                classes, names(given.path("tenants")), keys(root),
+                classes, names(given.path("tenants")), keys,
                 Roster.parse(root.path("known"), zones, kinds), folder(root, "state_dir"),
                 FleetConfig.parse(root));
     }
--- a/src/test/java/cranedeal/LayersTest.java
+++ b/src/test/java/cranedeal/LayersTest.java
@@ -24,6 +24,7 @@
             .layer("node").definedBy("cranedeal.node")
             .layer("store").definedBy(FLEET + "store")
             .layer("membership").definedBy(FLEET + "membership")
+            .layer("config").definedBy(FLEET + "config")
             .layer("duty").definedBy(FLEET + "duty")
             .layer("release").definedBy(FLEET + "release")
             .layer("agent").definedBy(FLEET + "agent")
@@ -34,8 +35,11 @@
             .whereLayer("agent").mayOnlyBeAccessedByLayers("command", "lab")
             .whereLayer("release").mayOnlyBeAccessedByLayers("command", "lab")
             .whereLayer("duty").mayOnlyBeAccessedByLayers("release", "command", "lab")
-            .whereLayer("membership").mayOnlyBeAccessedByLayers("release", "agent", "command", "lab", "node")
-            .whereLayer("store").mayOnlyBeAccessedByLayers("duty", "agent", "command", "lab", "node")
+            .whereLayer("config").mayOnlyBeAccessedByLayers("command", "lab", "node")
+            .whereLayer("membership").mayOnlyBeAccessedByLayers("config", "release", "agent", "command",
+                    "lab", "node")
+            .whereLayer("store").mayOnlyBeAccessedByLayers("config", "duty", "agent", "command", "lab",
+                    "node")
             .whereLayer("decisions").mayOnlyBeAccessedByLayers("wire", "node", "lab");
 
     @ArchTest
--- a/src/test/java/cranedeal/fleet/membership/CodecTest.java
+++ b/src/test/java/cranedeal/fleet/membership/CodecTest.java
@@ -40,10 +40,13 @@
             }
             Message.Kind kind = Message.Kind.values()[random.nextInt(5)];
             String to = random.nextBoolean() ? "" : member().name();
-            int left = Codec.LARGEST - Codec.headSize("clinics", to, from);
+            VersionNotice notice = random.nextBoolean() ? null : new VersionNotice(
+                    random.nextLong(Member.HIGHEST_INCARNATION), random.nextLong(Member.HIGHEST_INCARNATION),
+                    "s".repeat(random.nextInt(65)), "z".repeat(random.nextInt(65)));
+            int left = Codec.LARGEST - Codec.headSize("clinics", to, from) - Codec.size(notice);
             Message message = new Message(kind, random.nextLong(Long.MAX_VALUE), to,
                     kind == Message.Kind.ASK ? member().address() : null, from, random.nextLong(),
-                    List.copyOf(queue.take(left, 1_000)));
+                    List.copyOf(queue.take(left, 1_000)), notice);
             byte[] bytes = codec.encode(message);
             assertTrue(bytes.length <= Codec.LARGEST && !message.news().isEmpty());
             assertEquals(message, codec.decode(bytes));
@@ -52,6 +55,29 @@
         assertEquals(all, codec.decodeMembers(codec.encode(all)));
     }
 
+    /** As the version before wrote it, whose members are beside this one's while a release goes on. */
+    private static final String BEFORE = "{\"v\":1,\"f\":\"clinics\",\"t\":\"ping\",\"n\":7,\"to\":\"b\","
+            + "\"d\":9,\"m\":[\"a\",\"127.0.0.1:1\",\"serve\",\"1\",1,1,0],\"news\":[]}";
+
+    @Test
+    void aNoticeIsLookedOverWhereItIsNotKnownAndMissedWhereItIsNotThere() throws Exception {
+        Message before = codec.decode(BEFORE.getBytes(StandardCharsets.UTF_8));
+        assertEquals(null, before.notice());
+        assertEquals(BEFORE, new String(codec.encode(before), StandardCharsets.UTF_8),
+                "without a notice it is written as it was");
+        Message with = new Message(before.kind(), before.number(), before.to(), null, before.from(),
+                before.digest(), before.news(), new VersionNotice(2, 3, "front", "z1"));
+        assertEquals(BEFORE.replace("\"news\"", "\"c\":[2,3,\"front\",\"z1\"],\"news\""),
+                new String(codec.encode(with), StandardCharsets.UTF_8), "one key more, which the version"
+                + " before passes over as it does any");
+        assertEquals(with, codec.decode(codec.encode(with)));
+        for (String unknown : List.of("1", "{}", "[]", "[1]", "[-1,2,\"\",\"\"]", "[1,2,\"a b\",\"\"]",
+                "[1e99,2,\"\",\"\"]")) {
+            assertEquals(before, codec.decode(BEFORE.replace("\"news\"", "\"c\":" + unknown + ",\"news\"")
+                    .getBytes(StandardCharsets.UTF_8)), "the rest of it still counts: " + unknown);
+        }
+    }
+
     @Test
     void anotherFleetsAndAFarVersionsAreForeign() throws Exception {
         byte[] theirs = new Codec("other").encode(List.of(member()));
--- /dev/null
+++ b/src/test/java/cranedeal/lab/ConfigProcessTest.java
@@ -0,0 +1,336 @@
+package cranedeal.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import cranedeal.fleet.command.Program;
+import cranedeal.lab.link.Addresses;
+import cranedeal.lab.process.Child;
+import cranedeal.lab.process.Warden;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * The configuration of a fleet, with three coordinators and five balancers, each a process of the program,
+ * and an operator's commands.
+ */
+class ConfigProcessTest {
+
+    private static final JsonMapper JSON = new JsonMapper();
+    private static final int COORDINATORS = 3;
+    private static final int BALANCERS = 5;
+
+    @TempDir
+    Path folder;
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final Map<String, Child> processes = new LinkedHashMap<>();
+    private Warden warden;
+    private Addresses addresses;
+    private ObjectNode own;
+    private String said;
+
+    @BeforeEach
+    void start() throws Exception {
+        warden = new Warden();
+        addresses = Addresses.take();
+        for (int i = 0; i < COORDINATORS; i++) {
+            startCoordinator(i);
+        }
+        for (int i = 0; i < BALANCERS; i++) {
+            startBalancer(i);
+        }
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        warden.close();
+        addresses.close();
+    }
+
+    private String ip(int party) {
+        return addresses.ip(party).getHostAddress();
+    }
+
+    private String coordinator(int number) {
+        return ip(1 + number) + ":" + Addresses.MEMBER_PORT;
+    }
+
+    private String balancer(int number) {
+        return ip(11 + number) + ":" + Addresses.MEMBER_PORT;
+    }
+
+    private List<String> coordinators() {
+        List<String> all = new ArrayList<>();
+        for (int i = 0; i < COORDINATORS; i++) {
+            all.add(coordinator(i));
+        }
+        return all;
+    }
+
+    private void launch(String name, Map<String, String> environment, String... arguments) throws Exception {
+        List<String> command = new ArrayList<>(new LabCommand.ProgramUnderTest().command());
+        command.addAll(List.of(arguments));
+        processes.put(name, warden.start(name, command, environment, folder.resolve(name + ".log")));
+    }
+
+    private void startCoordinator(int number) throws Exception {
+        ObjectNode config = JSON.createObjectNode().put("fleet", "clinics").put("name", "c" + number)
+                .put("listen", coordinator(number)).put("zone", "z" + number % 2)
+                .put("state_dir", folder.resolve("c" + number).toString()).put("probe_period_ms", 500);
+        coordinators().forEach(config.putArray("peers")::add);
+        Path file = folder.resolve("c" + number + ".json");
+        Files.writeString(file, config.toString());
+        launch("c" + number, Map.of(), "coordinator", "--config", file.toString());
+    }
+
+    private void startBalancer(int number) throws Exception {
+        Path toml = folder.resolve("config.toml");
+        Files.writeString(toml, Files.readString(Path.of("lab/experiments/members.toml"))
+                .replaceAll("(?s)\\[\\[fault]].*\\[must]", "[must]").replace("balancers = 30", "balancers = "
+                + BALANCERS));
+        Experiment experiment = ExperimentReader.read(toml);
+        ObjectNode known = JSON.createObjectNode().put("version", 1).put("full", true);
+        known.putArray("servers");
+        // Nobody listens for discovery, so it serves by what it knows.
+        own = BalancerConfig.of(experiment, number, addresses.own(11 + number), addresses.own(99), number + 1,
+                known, List.of());
+        ObjectNode fleet = own.putObject("fleet").put("name", "clinics").put("listen", balancer(number))
+                .put("service", "front").put("probe_period_ms", 500)
+                .put("state_dir", folder.resolve("n" + number).toString());
+        coordinators().forEach(fleet.putArray("seeds")::add);
+        Path file = folder.resolve("n" + number + ".json");
+        Files.writeString(file, own.toString());
+        launch("n" + number, Map.of("PROXY_CONFIG", file.toString(), "PROXY_ADMIN_ADDR", door(number),
+                "TMPDIR", Files.createDirectories(folder.resolve("tmp" + number)).toString()), "serve");
+    }
+
+    private String door(int number) {
+        return ip(11 + number) + ":" + Addresses.DOOR_PORT;
+    }
+
+    private void kill(String name) {
+        processes.get(name).kill();
+        processes.get(name).onExit().join();
+    }
+
+    private int fleet(String... arguments) {
+        PrintStream before = System.out;
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
+        try {
+            return Program.run(Map.of(), arguments);
+        } finally {
+            System.setOut(before);
+            said = out.toString(StandardCharsets.UTF_8);
+        }
+    }
+
+    private JsonNode status(String at) throws IOException {
+        fleet("fleet", "config", "status", "--to", at, "--json");
+        return JSON.readTree(said.isEmpty() ? "{}" : said);
+    }
+
+    /** A document whose section gives a class of requests another name. */
+    private Path document(String name) throws IOException {
+        ObjectNode document = JSON.createObjectNode().put("form", 1);
+        ObjectNode settings = document.putObject("services").putObject("front").putObject("settings");
+        ArrayNode classes = (ArrayNode) own.at("/settings/services").deepCopy();
+        ((ObjectNode) classes.get(0)).put("name", name);
+        settings.set("services", classes);
+        Path file = folder.resolve(name + ".json");
+        Files.writeString(file, document.toString());
+        return file;
+    }
+
+    private int publish(Path file, String... more) {
+        List<String> arguments = new ArrayList<>(List.of("fleet", "config", "publish", file.toString(),
+                "--to", String.join(",", coordinators())));
+        arguments.addAll(List.of(more));
+        return fleet(arguments.toArray(String[]::new));
+    }
+
+    private void awaitInForce(String name, int... but) throws Exception {
+        Processes.until(() -> {
+            for (int i = 0; i < BALANCERS; i++) {
+                int one = i;
+                boolean left = java.util.Arrays.stream(but).anyMatch(other -> other == one);
+                if (!left && !hasClass(i, name)) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    private boolean hasClass(int balancer, String name) throws InterruptedException {
+        try {
+            return http.send(HttpRequest.newBuilder(URI.create("http://" + door(balancer) + "/ops/stats"))
+                    .timeout(Duration.ofSeconds(20)).build(), HttpResponse.BodyHandlers.ofString()).body()
+                    .contains("success." + name + "=");
+        } catch (IOException e) {
+            // It does not run yet, or no longer.
+            return false;
+        }
+    }
+
+    private boolean serves(int balancer) throws IOException, InterruptedException {
+        return http.send(HttpRequest.newBuilder(URI.create("http:/" + addresses.own(11 + balancer)
+                + "/_health")).timeout(Duration.ofSeconds(20)).build(),
+                HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+    }
+
+    private void awaitAllSeen() throws Exception {
+        Processes.until(() -> {
+            JsonNode status = status(coordinator(0));
+            return status.path("members").size() == BALANCERS
+                    && status.path("coordinators").size() == COORDINATORS
+                    && status.path("not_reached").isEmpty();
+        });
+    }
+
+    @Test
+    void changesRefusalsAndTheWayBackAreSeenByTheOperator() throws Exception {
+        awaitAllSeen();
+        assertEquals(1, publish(document("a")), "nobody leads yet");
+        assertEquals(1, fleet("fleet", "config", "status", "--to", coordinator(1)));
+        assertTrue(said.contains("no coordinator leads") && said.contains("nothing was published"), said);
+        assertEquals(0, fleet("fleet", "config", "take-over", "--to", coordinator(0)));
+        // By whatever address, who leads takes it.
+        assertEquals(0, fleet("fleet", "config", "publish", document("a").toString(), "--to",
+                coordinator(2)));
+        awaitInForce("a");
+        Processes.until(() -> fleet("fleet", "config", "status", "--to", balancer(3)) == 0);
+        assertTrue(said.contains("the newest version is 1.1, in force on 5 of 5 members"), said);
+
+        Path bad = folder.resolve("bad.json");
+        Files.writeString(bad, "{\"form\":1,\n\"services\":{\"front\":{\"listen\":\"127.0.0.1:1\"}}}");
+        assertEquals(2, publish(bad));
+        assertEquals(2, publish(folder.resolve("none.json")));
+        assertEquals(2, fleet("fleet", "config", "publish", bad.toString(), "--to", "nowhere"));
+        assertEquals(2, fleet("fleet", "config", "take-over", "--to", String.join(",", coordinators())));
+        assertEquals(1, fleet("fleet", "config", "rollback", "7", "--to", coordinator(0)));
+
+        // Whole as a document, and refused by each balancer.
+        Files.writeString(bad, Files.readString(document("b")).replace("\"settings\":{",
+                "\"settings\":{\"limits\":{\"attemptsCap\":0},"));
+        assertEquals(0, publish(bad));
+        Processes.until(() -> status(coordinator(0)).path("refused").size() == BALANCERS);
+        JsonNode refused = JSON.readTree(said).path("refused").path(0);
+        assertEquals("settings.limits.attemptsCap", refused.path("key").asText(), said);
+        assertEquals("1.1", refused.path("in_force").asText());
+        assertEquals("1.2", refused.path("version").asText());
+        assertEquals(1, fleet("fleet", "config", "status", "--to", coordinator(0)));
+        assertTrue(said.contains("n0 refuses 1.2, and goes by 1.1: settings.limits.attemptsCap"), said);
+        assertTrue(hasClass(0, "a") && !hasClass(0, "b"));
+
+        // Whoever starts anew comes back with the last that it took.
+        kill("n1");
+        startBalancer(1);
+        awaitInForce("a");
+        assertEquals(0, fleet("fleet", "config", "rollback", "1", "--to", coordinator(0)));
+        Processes.until(() -> fleet("fleet", "config", "status", "--to", coordinator(0)) == 0);
+        assertTrue(said.contains("the newest version is 1.3") && said.contains("rollback to 1"), said);
+    }
+
+    @Test
+    void lostCoordinatorsStopNoBalancerAndNothingAnsweredIsLost() throws Exception {
+        awaitAllSeen();
+        assertEquals(0, fleet("fleet", "config", "take-over", "--to", coordinator(0)));
+        assertEquals(0, publish(document("a")));
+        awaitInForce("a");
+
+        // The leader dies as it takes a change: its author may have had an answer, or not.
+        Path b = document("b");
+        List<String> command = new ArrayList<>(new LabCommand.ProgramUnderTest().command());
+        command.addAll(List.of("fleet", "config", "publish", b.toString(), "--to", coordinator(0),
+                "--operation", "b"));
+        Child author = warden.start("author", command, Map.of(), folder.resolve("author.log"));
+        CompletableFuture<Integer> answered = author.onExit();
+        Processes.until(() -> answered.isDone() || keepsOperation(0, "b"));
+        kill("c0");
+        answered.join();
+        assertEquals(0, fleet("fleet", "config", "take-over", "--to", coordinator(1)));
+        assertEquals(0, publish(b, "--operation", "b"), "repeated without harm");
+        awaitInForce("b");
+        JsonNode status = status(coordinator(1));
+        assertEquals(2, status.path("epoch").asInt());
+        long times = 0;
+        for (JsonNode one : status.path("coordinators")) {
+            for (JsonNode version : one.path("versions")) {
+                times += one.path("leads").asBoolean() && version.path("operation").asText().equals("b")
+                        && !version.path("note").asText().startsWith("carried over") ? 1 : 0;
+            }
+        }
+        assertEquals(1, times, said);
+
+        // It comes back, and leads no longer: what it is asked goes to who does.
+        startCoordinator(0);
+        Processes.until(() -> status(coordinator(0)).path("coordinators_answering").asInt() == 3
+                && status(coordinator(0)).path("epoch").asInt() == 2);
+        Processes.until(() -> fleet("fleet", "config", "publish", document("c").toString(), "--to",
+                coordinator(0), "--operation", "c") == 0);
+        awaitInForce("c");
+
+        // With all three gone all serve on, and who starts anew comes back with the last good one.
+        for (int i = 0; i < COORDINATORS; i++) {
+            kill("c" + i);
+        }
+        assertEquals(1, publish(document("d")));
+        kill("n2");
+        startBalancer(2);
+        awaitInForce("c");
+        for (int i = 0; i < BALANCERS; i++) {
+            assertTrue(serves(i));
+        }
+        assertEquals(1, fleet("fleet", "config", "status", "--to", balancer(0)));
+        assertTrue(said.contains("no coordinator answers: all serve on"), said);
+        Processes.until(() -> status(balancer(0)).path("in_force").asInt() == BALANCERS);
+
+        // They come back with what they had; the one that led leads.
+        for (int i = 0; i < COORDINATORS; i++) {
+            startCoordinator(i);
+        }
+        Processes.until(() -> publish(document("d"), "--operation", "d") == 0);
+        awaitInForce("d");
+        processes.get("c2").terminate();
+        processes.get("c2").onExit().join();
+        Processes.until(() -> status(coordinator(1)).path("coordinators").size() == COORDINATORS - 1);
+        assertFalse(status(coordinator(1)).path("leader").asText().isEmpty(), "it left in order");
+    }
+
+    /** Whether a coordinator's journal holds a version of an operation. */
+    private boolean keepsOperation(int coordinator, String operation) throws IOException {
+        try (var files = Files.list(folder.resolve("c" + coordinator + "/config"))) {
+            for (Path file : files.toList()) {
+                if (Files.readString(file, StandardCharsets.ISO_8859_1).contains("\"operation\":\""
+                        + operation + "\"")) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+}
