Run hollow balancers: membership and discovery's watch, hundreds to a process

Need: 520 balancers don't fit on one machine as whole processes, and what control costs each at that size had only been played in virtual time.

A member may now share its loop and its disk's thread with others of its process; its repeated tasks end with it, which on a loop of its own nobody noticed. It also counts the bytes of full exchanges, which its figures left out. DiscoveryWatch opens discovery's client alone. lab.hollow has the process that holds them, the lab's handle on it, and the command `lab hollow`, which joins, rests, kills a sixth at one moment and starts them again.

--- a/src/main/java/cranedeal/fleet/membership/FleetMember.java
+++ b/src/main/java/cranedeal/fleet/membership/FleetMember.java
@@ -21,12 +21,14 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -34,8 +36,8 @@
 
 /**
  * Runs a {@link Membership} on datagrams and HTTP, on a loop of its own, so that neither it nor what it waits
- * for can keep the rest of the process waiting. While another process holds its address, as in an upgrade, it
- * waits for that.
+ * for can keep the rest of the process waiting; members that have a process to themselves may share a loop.
+ * While another process holds its address, as in an upgrade, it waits for that.
  */
 public final class FleetMember {
 
@@ -56,10 +58,11 @@
     private final Config config;
     private final PeerBook book;
     private final Codec codec;
-    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-            new DefaultThreadFactory("member", true), NioIoHandler.newFactory()).next();
-    private final ExecutorService disk = Executors.newSingleThreadExecutor(
-            new DefaultThreadFactory("member-disk", true));
+    private final EventLoop loop;
+    private final Executor disk;
+    /** What ends once the member has; shared ones are the caller's. */
+    private final Runnable release;
+    private final List<Future<?>> repeated = new ArrayList<>();
     private final MemberCalls calls;
     private final long origin = System.nanoTime();
     private Membership core;
@@ -88,20 +91,49 @@
     public record Config(String fleet, String name, InetSocketAddress listen, InetSocketAddress advertise,
             List<InetSocketAddress> seeds, String role, String version, Settings settings, long seed) { }
 
-    /** A member that has not started. */
+    /** A member that has not started, on a loop and a disk's thread of its own. */
     public FleetMember(Config config, PeerBook book) {
+        this(config, book, (EventLoop) new MultiThreadIoEventLoopGroup(1,
+                new DefaultThreadFactory("member", true), NioIoHandler.newFactory()).next(),
+                Executors.newSingleThreadExecutor(new DefaultThreadFactory("member-disk", true)));
+    }
+
+    private FleetMember(Config config, PeerBook book, EventLoop loop, ExecutorService disk) {
+        this(config, book, loop, disk, disk::shutdown);
+    }
+
+    /**
+     * A member that has not started, beside others of its process on one loop. Neither that nor what writes
+     * to the disk ends with it.
+     */
+    public FleetMember(Config config, PeerBook book, EventLoop loop, Executor disk) {
+        this(config, book, loop, disk, () -> { });
+    }
+
+    private FleetMember(Config config, PeerBook book, EventLoop loop, Executor disk, Runnable release) {
         this.config = config;
         this.book = book;
+        this.loop = loop;
+        this.disk = disk;
+        this.release = release;
         codec = new Codec(config.fleet());
         calls = new MemberCalls(this, loop);
     }
 
     /** Starts it; what it takes goes on after this returns. */
     public void start() {
-        loop.scheduleAtFixedRate(this::publish, 0, PUBLISH_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(this::persist, PERSIST_MS, PERSIST_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(this::tellUntold, LINES_MS, LINES_MS, TimeUnit.MILLISECONDS);
-        loop.execute(this::bind);
+        loop.execute(() -> {
+            repeat(this::publish, 0, PUBLISH_MS);
+            repeat(this::persist, PERSIST_MS, PERSIST_MS);
+            repeat(this::tellUntold, LINES_MS, LINES_MS);
+            bind();
+        });
+    }
+
+    private void repeat(Runnable task, long firstMs, long everyMs) {
+        if (!ended) {
+            repeated.add(loop.scheduleAtFixedRate(task, firstMs, everyMs, TimeUnit.MILLISECONDS));
+        }
     }
 
     /** Goes without a word, as another process goes on as this member; returns once the address is free. */
@@ -120,9 +152,11 @@
                 last.run();
             }
             ended = true;
+            // On a loop that others share they would go on for ever.
+            repeated.forEach(task -> task.cancel(false));
             closeChannels();
         }).awaitUninterruptibly(1, TimeUnit.SECONDS);
-        disk.shutdown();
+        release.run();
     }
 
     /** The figures by their names, at most half a second old. */
@@ -382,6 +416,8 @@
         now.put("fleet.dropped", dropped);
         now.put("fleet.foreign", foreign);
         now.put("fleet.syncs", calls.syncs());
+        now.put("fleet.sync_bytes_sent", calls.bytesSent());
+        now.put("fleet.sync_bytes_received", calls.bytesReceived());
         figures = now;
     }
 
--- a/src/main/java/cranedeal/fleet/membership/MemberCalls.java
+++ b/src/main/java/cranedeal/fleet/membership/MemberCalls.java
@@ -48,6 +48,8 @@
     private int open;
     private boolean syncing;
     private long syncs;
+    private long bytesSent;
+    private long bytesReceived;
     private int answered;
     private double countedFrom = Double.NEGATIVE_INFINITY;
 
@@ -60,6 +62,15 @@
         return syncs;
     }
 
+    /** Of the bodies of full exchanges, begun here or elsewhere; likewise the next one. */
+    long bytesSent() {
+        return bytesSent;
+    }
+
+    long bytesReceived() {
+        return bytesReceived;
+    }
+
     private void limit(Channel channel) {
         loop.schedule(() -> {
             channel.close();
@@ -127,6 +138,8 @@
         if (known == null || ++answered > MOST_SYNCS) {
             return later();
         }
+        bytesReceived += theirs.length;
+        bytesSent += known.length;
         member.merge(theirs);
         return json(known);
     }
@@ -184,6 +197,7 @@
                     Unpooled.wrappedBuffer(known));
             request.headers().set("Host", Codec.text(with)).set("Content-Type", "application/json")
                     .set("Content-Length", known.length).set("Connection", "close");
+            bytesSent += known.length;
             connected.channel().writeAndFlush(request);
         });
     }
@@ -193,6 +207,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) throws IOException {
             if (response.status().equals(HttpResponseStatus.OK)) {
+                bytesReceived += response.content().readableBytes();
                 member.merge(ByteBufUtil.getBytes(response.content()));
             }
             ctx.close();
--- a/src/main/java/cranedeal/lab/LabCommand.java
+++ b/src/main/java/cranedeal/lab/LabCommand.java
@@ -3,6 +3,7 @@
 import cranedeal.fleet.command.CommandException;
 import cranedeal.fleet.command.Program;
 import cranedeal.fleet.command.Role;
+import cranedeal.lab.hollow.HollowCommand;
 import cranedeal.lab.report.Comparison;
 import cranedeal.lab.report.Summary;
 import cranedeal.lab.swarm.SwarmCommand;
@@ -26,7 +27,7 @@
 
 /** The lab's commands. Exit codes: 0, all held; 1, something did not, or nothing was shown; 2, wrong use. */
 @Command(name = "lab", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
-        subcommands = SwarmCommand.class,
+        subcommands = {SwarmCommand.class, HollowCommand.class},
         description = "Plays experiments: several processes of the program, load, and faults between them.")
 public final class LabCommand implements Role, Callable<Integer> {
 
--- /dev/null
+++ b/src/main/java/cranedeal/lab/hollow/HollowTrial.java
@@ -0,0 +1,194 @@
+package cranedeal.lab.hollow;
+
+import cranedeal.lab.link.Addresses;
+import cranedeal.lab.process.Child;
+import cranedeal.lab.process.Warden;
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Hollow balancers straight at one another, with no relay between them: joined, left at rest, a sixth of them
+ * killed at one moment, and those started again. Closing it ends its processes.
+ */
+final class HollowTrial implements AutoCloseable {
+
+    static final int MOST = 5_000;
+    private static final int SEEDS = 3;
+    private static final int LOOPS = 2;
+    private static final long LOOK_EVERY_MS = 100;
+    private static final long LONGEST_MS = 120_000;
+    private static final long SETTLE_MS = 3_000;
+    private static final double MS = 1_000;
+
+    private final int members;
+    private final int periodMs;
+    private final Addresses addresses = Addresses.take();
+    private final Warden warden;
+    private final List<HollowGroup> groups = new ArrayList<>();
+
+    /** What a member spent in a while, by the second; shares are of one core. */
+    record Spent(int seconds, double datagramsPerS, double bytesSentPerS, double bytesReceivedPerS,
+            double syncsPerS, double cpuShare, double peakCpuShare, long peakBytes) {
+
+        private static Spent of(List<Meter.Window> windows) {
+            double over = Math.max(1, windows.stream().mapToLong(Meter.Window::balancerSeconds).sum());
+            return new Spent(windows.stream().mapToInt(Meter.Window::seconds).max().orElse(0),
+                    windows.stream().mapToLong(Meter.Window::datagrams).sum() / over,
+                    windows.stream().mapToLong(Meter.Window::bytesSent).sum() / over,
+                    windows.stream().mapToLong(Meter.Window::bytesReceived).sum() / over,
+                    windows.stream().mapToLong(Meter.Window::syncs).sum() / over,
+                    windows.stream().mapToDouble(Meter.Window::cpuMs).sum() / over / MS,
+                    windows.stream().mapToDouble(Meter.Window::peakCpuMs).max().orElse(0) / MS,
+                    windows.stream().mapToLong(Meter.Window::peakBytes).max().orElse(0));
+        }
+    }
+
+    /**
+     * What a trial has shown.
+     *
+     * @param joinedMs from the start of all until each saw all
+     * @param heapBytesEach the heap in use after a collection, less that before any started, by member
+     * @param residentKb of all processes
+     * @param killedMs from the kill until no view held one of the killed
+     * @param backMs from their start until each saw all
+     */
+    record Result(int members, int processes, int periodMs, double joinedMs, double heapBytesEach,
+            long residentKb, double killedMs, double backMs, Spent joining, Spent atRest, Spent killed,
+            Spent back) { }
+
+    /** Processes that have started, with none of their balancers running. */
+    HollowTrial(int members, int processes, int periodMs, Path folder)
+            throws IOException, InterruptedException {
+        this.members = members;
+        this.periodMs = periodMs;
+        warden = new Warden();
+        HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        boolean whole = false;
+        try {
+            for (int i = 0; i < processes; i++) {
+                List<HollowConfig.Balancer> its = new ArrayList<>();
+                for (int j = i; j < members; j += processes) {
+                    its.add(new HollowConfig.Balancer("h" + j, at(j), at(j), null));
+                }
+                List<String> seeds = new ArrayList<>();
+                for (int j = 0; j < Math.min(SEEDS, members); j++) {
+                    seeds.add(at(j));
+                }
+                groups.add(HollowGroup.start("hollow-" + i, new HollowConfig(control(members + i), "trial",
+                        periodMs, LOOPS, seeds, its), folder, warden, http));
+            }
+            whole = true;
+        } finally {
+            if (!whole) {
+                close();
+            }
+        }
+    }
+
+    private String at(int number) {
+        return addresses.ip(number).getHostAddress() + ":" + Addresses.MEMBER_PORT;
+    }
+
+    private String control(int number) {
+        return addresses.ip(number).getHostAddress() + ":" + Addresses.DOOR_PORT;
+    }
+
+    /** Plays it. */
+    Result run(int seconds) throws IOException, InterruptedException {
+        Set<String> all = new TreeSet<>();
+        groups.forEach(group -> all.addAll(group.names()));
+        long before = heap();
+        window();
+        double joined = after(() -> start(all), all, members);
+        final Spent joining = window();
+        TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
+        window();
+        TimeUnit.SECONDS.sleep(seconds);
+        final Spent atRest = window();
+        Set<String> dead = new TreeSet<>();
+        Set<String> left = new TreeSet<>(all);
+        for (int i = 1; i <= members / 6; i++) {
+            dead.add("h" + (members - i));
+        }
+        left.removeAll(dead);
+        double killed = after(() -> {
+            for (HollowGroup group : groups) {
+                group.kill(dead);
+            }
+        }, left, left.size());
+        final Spent killing = window();
+        double back = after(() -> start(dead), all, members);
+        Spent coming = window();
+        double heapEach = (heap() - before) / (double) members;
+        long resident = groups.stream().map(HollowGroup::child).map(Child::usage)
+                .mapToLong(usage -> usage.map(Child.Usage::rssKb).orElse(0L)).sum();
+        return new Result(members, groups.size(), periodMs, joined, heapEach, resident, killed, back,
+                joining, atRest, killing, coming);
+    }
+
+    private void start(Set<String> names) throws IOException, InterruptedException {
+        for (HollowGroup group : groups) {
+            group.startBalancers(names);
+        }
+    }
+
+    /** What is done to the balancers. */
+    private interface Step {
+        void run() throws IOException, InterruptedException;
+    }
+
+    /** How long after a step all of these see so many, in milliseconds. */
+    private double after(Step step, Set<String> names, int present) throws IOException, InterruptedException {
+        long from = System.nanoTime();
+        step.run();
+        double waited;
+        do {
+            TimeUnit.MILLISECONDS.sleep(LOOK_EVERY_MS);
+            waited = (System.nanoTime() - from) / 1e6;
+            if (waited > LONGEST_MS) {
+                throw new IOException("the views of " + names.size() + " members don't settle on " + present);
+            }
+        } while (!agree(names, present));
+        return waited;
+    }
+
+    private boolean agree(Set<String> names, int present) throws IOException, InterruptedException {
+        int running = 0;
+        for (HollowGroup group : groups) {
+            HollowProcess.Views views = group.views(names);
+            if (views.running() > 0 && (views.least() != present || views.most() != present)) {
+                return false;
+            }
+            running += views.running();
+        }
+        return running == names.size();
+    }
+
+    private Spent window() throws IOException, InterruptedException {
+        List<Meter.Window> windows = new ArrayList<>();
+        for (HollowGroup group : groups) {
+            windows.add(group.window());
+        }
+        return Spent.of(windows);
+    }
+
+    private long heap() throws IOException, InterruptedException {
+        long sum = 0;
+        for (HollowGroup group : groups) {
+            sum += group.liveHeap();
+        }
+        return sum;
+    }
+
+    @Override
+    public void close() throws IOException {
+        warden.close();
+        addresses.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/node/DiscoveryWatch.java
@@ -0,0 +1,51 @@
+package cranedeal.node;
+
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.function.LongConsumer;
+
+/**
+ * A balancer's watch of discovery without the balancer, for measuring what it costs there and on the way. It
+ * is {@link Discovery} as the program has it, with the list pushed.
+ */
+public final class DiscoveryWatch implements AutoCloseable {
+
+    private final EventLoop loop;
+    private final Discovery client;
+
+    private DiscoveryWatch(EventLoop loop, Discovery client) {
+        this.loop = loop;
+        this.client = client;
+    }
+
+    /**
+     * Begins to watch.
+     *
+     * @param config a balancer's whole configuration, of which it takes what concerns discovery
+     * @param told given the version of each list or change that comes, on the loop
+     * @throws IOException if the configuration can't be read; it names file and key
+     */
+    public static DiscoveryWatch open(EventLoop loop, Path config, LongConsumer told) throws IOException {
+        NodeConfig read;
+        try {
+            read = NodeConfig.read(config.toString());
+        } catch (ConfigException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+        Discovery client = new Discovery(loop, read, UnpooledByteBufAllocator.DEFAULT, (change, roster) -> {
+            if (roster != null) {
+                told.accept(roster.version());
+            }
+        }, Discovery.WATCH_MS);
+        loop.execute(() -> client.push(true));
+        return new DiscoveryWatch(loop, client);
+    }
+
+    /** Ends it; returns at once. */
+    @Override
+    public void close() {
+        loop.execute(() -> client.push(false));
+    }
+}
--- /dev/null
+++ b/src/test/java/cranedeal/lab/hollow/HollowBalancersTest.java
@@ -0,0 +1,116 @@
+package cranedeal.lab.hollow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cranedeal.fleet.command.Program;
+import cranedeal.lab.Processes;
+import cranedeal.lab.link.Addresses;
+import cranedeal.lab.process.Child;
+import cranedeal.lab.process.Warden;
+import java.net.http.HttpClient;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two processes of hollow balancers, which are members of one fleet over real sockets. */
+class HollowBalancersTest {
+
+    private static final int EACH = 20;
+
+    @TempDir
+    Path folder;
+    private Addresses addresses;
+    private Warden warden;
+    private final List<HollowGroup> groups = new ArrayList<>();
+    private final TreeSet<String> all = new TreeSet<>();
+
+    @BeforeEach
+    void start() throws Exception {
+        addresses = Addresses.take();
+        warden = new Warden();
+        HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        for (int i = 0; i < 2; i++) {
+            List<HollowConfig.Balancer> its = new ArrayList<>();
+            for (int j = i * EACH; j < (i + 1) * EACH; j++) {
+                its.add(new HollowConfig.Balancer("h" + j, at(j), at(j), null));
+            }
+            groups.add(HollowGroup.start("hollow-" + i, new HollowConfig(
+                    addresses.ip(2 * EACH + i).getHostAddress() + ":" + Addresses.DOOR_PORT, "test", 200, 1,
+                    List.of(at(0)), its), folder, warden, http));
+            all.addAll(groups.get(i).names());
+        }
+        for (HollowGroup group : groups) {
+            group.startBalancers(all);
+        }
+        Processes.until(() -> agree(all));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        warden.close();
+        addresses.close();
+    }
+
+    private String at(int number) {
+        return addresses.ip(number).getHostAddress() + ":" + Addresses.MEMBER_PORT;
+    }
+
+    /** Whether exactly these run, and each sees as many. */
+    private boolean agree(TreeSet<String> names) throws Exception {
+        int running = 0;
+        for (HollowGroup group : groups) {
+            HollowProcess.Views views = group.views(all);
+            running += views.running();
+            if (views.running() > 0 && (views.least() != names.size() || views.most() != names.size())) {
+                return false;
+            }
+        }
+        return running == names.size();
+    }
+
+    @Test
+    void theyAreMembersThatDieLeaveAndReturn() throws Exception {
+        TreeSet<String> left = new TreeSet<>(all);
+        List<String> dead = List.of("h3", "h17", "h21", "h38");
+        left.removeAll(dead);
+        for (HollowGroup group : groups) {
+            group.kill(dead);
+        }
+        Processes.until(() -> agree(left));
+        groups.get(0).leave(List.of("h5"));
+        left.remove("h5");
+        Processes.until(() -> agree(left));
+        for (HollowGroup group : groups) {
+            group.startBalancers(all);
+        }
+        Processes.until(() -> agree(all));
+        assertEquals(0, Program.run(Map.of(), "fleet", "members", at(3), "--compare"));
+
+        Meter.Window window = groups.get(0).window();
+        assertTrue(window.datagrams() > 0 && window.bytesSent() > 0 && window.bytesReceived() > 0
+                && window.peakBytes() > 0 && window.cpuMs() > 0, window.toString());
+        assertTrue(groups.get(0).liveHeap() > 0);
+    }
+
+    @Test
+    void hundredsNeedNoThreadsOfTheirOwn() throws Exception {
+        Child child = groups.get(0).child();
+        try (var threads = Files.list(Path.of("/proc", Long.toString(child.pid()), "task"))) {
+            List<String> names = new ArrayList<>();
+            for (Path thread : threads.toList()) {
+                names.add(Files.readString(thread.resolve("comm")).strip());
+            }
+            assertEquals(1, names.stream().filter(name -> name.matches("member-\\d+-\\d+")).count(),
+                    names.toString());
+            assertEquals(0, names.stream().filter(name -> name.startsWith("member-disk")).count());
+        }
+    }
+}
