--- a/src/main/java/cranedeal/fleet/membership/MemberCalls.java
+++ b/src/main/java/cranedeal/fleet/membership/MemberCalls.java
@@ -52,6 +52,8 @@
     private long refused;
     private boolean syncing;
     private long syncs;
+    private long bytesSent;
+    private long bytesReceived;
     private int answered;
     private double countedFrom = Double.NEGATIVE_INFINITY;
 
@@ -70,6 +72,15 @@
         return syncs;
     }
 
+    /** Of the bodies of all calls, made here or elsewhere; likewise the next one. */
+    long bytesSent() {
+        return bytesSent;
+    }
+
+    long bytesReceived() {
+        return bytesReceived;
+    }
+
     private void limit(Channel channel) {
         loop.schedule(() -> {
             channel.close();
@@ -92,6 +103,7 @@
 
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                        bytesReceived += request.content().readableBytes();
                         CompletionStage<CallReply> later = extended(request);
                         if (later == null) {
                             write(ctx, answer(request));
@@ -109,7 +121,8 @@
                 });
     }
 
-    private static void write(ChannelHandlerContext ctx, FullHttpResponse answer) {
+    private void write(ChannelHandlerContext ctx, FullHttpResponse answer) {
+        bytesSent += answer.content().readableBytes();
         answer.headers().set("Content-Length", answer.content().readableBytes()).set("Connection", "close");
         ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
     }
@@ -251,11 +264,12 @@
                     HttpMethod.valueOf(method), uri, Unpooled.wrappedBuffer(body));
             request.headers().set("Host", Codec.text(to)).set("Content-Type", "application/json")
                     .set("Content-Length", body.length).set("Connection", "close");
+            bytesSent += body.length;
             connected.channel().writeAndFlush(request);
         });
     }
 
-    private static final class Answer extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Answer extends SimpleChannelInboundHandler<FullHttpResponse> {
 
         private final CompletableFuture<CallReply> reply;
 
@@ -265,6 +279,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            bytesReceived += response.content().readableBytes();
             reply.complete(new CallReply(response.status().code(),
                     response.headers().get("Content-Type", ""), ByteBufUtil.getBytes(response.content())));
             ctx.close();
