--- a/src/main/java/cranedeal/lab/slope/Chain.java
+++ b/src/main/java/cranedeal/lab/slope/Chain.java
@@ -21,7 +21,7 @@
  * Tiers of upstreams with a balancer before each tier, in virtual time: each upstream of a tier works, then
  * calls the next tier through a balancer of its own, and if that call fails, so does it. The leaf is well at
  * first, is in trouble for a while, and is well again. Balancers make their decisions with the program's own
- * module; time limits go down the chain, and an upstream doesn't begin what is over. Clients don't come again.
+ * module; time limits go down the chain, and an upstream doesn't begin what is over. No client comes again.
  */
 final class Chain {
 
--- /dev/null
+++ b/src/test/java/cranedeal/node/HangUpBenchmark.java
@@ -0,0 +1,178 @@
+package cranedeal.node;
+
+import cranedeal.lab.slope.SlopeReport;
+import cranedeal.lab.slope.SlopeReport.Basis;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * How long a new configuration takes to be in force on all of several real processes on one machine, as it is
+ * done without any help: a script writes the file and sends SIGHUP, process by process, and each says when it
+ * goes by it. No test: run by name, on an idle machine.
+ */
+class HangUpBenchmark {
+
+    private static final String COMMAND = "mvn -B test -Dtest=HangUpBenchmark";
+    private static final int[] SIZES = {4, 8, 16, 24};
+    private static final int REPEATS = 5;
+    private static final int LIST = 25;
+    private static final String IN_FORCE = "goes by a new configuration";
+    private static final long PATIENCE_S = 60;
+    private static final double NANOS_PER_MS = 1e6;
+    /** Of the flags of service those that change how fast a process is. */
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+            "-Xms24m", "-Xmx64m", "-XX:-UsePerfData");
+
+    @TempDir
+    private Path folder;
+
+    /** One process, and how often it has said that it goes by a new configuration. */
+    private static final class Balancer {
+
+        private final Process process;
+        private final Path file;
+        private final AtomicInteger inForce = new AtomicInteger();
+
+        Balancer(Process process, Path file) {
+            this.process = process;
+            this.file = file;
+            Thread reader = new Thread(this::read);
+            reader.setDaemon(true);
+            reader.start();
+        }
+
+        private void read() {
+            try (BufferedReader log = process.inputReader(StandardCharsets.UTF_8)) {
+                for (String line = log.readLine(); line != null; line = log.readLine()) {
+                    if (line.contains(IN_FORCE)) {
+                        synchronized (inForce) {
+                            inForce.incrementAndGet();
+                            inForce.notifyAll();
+                        }
+                    }
+                }
+            } catch (IOException e) {
+                // It has ended.
+            }
+        }
+
+        void await(int times) throws InterruptedException {
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+            synchronized (inForce) {
+                while (inForce.get() < times) {
+                    if (System.nanoTime() > end || !process.isAlive()) {
+                        throw new AssertionError("a configuration did not come into force");
+                    }
+                    inForce.wait(1_000);
+                }
+            }
+        }
+    }
+
+    @Test
+    void measure() throws Exception {
+        SlopeReport report = new SlopeReport("hang-up", COMMAND, "process").with("upstreams", LIST)
+                .with("flags", FLAGS).with("not_in_it", "the way to other machines, and whoever types it");
+        Map<Integer, List<Double>> took = new LinkedHashMap<>();
+        try (Stage stage = new Stage(0)) {
+            String config = stage.config().replace(Stage.roster(41, true), ListBenchmark.list(LIST))
+                    .replace("[\"dakar-a\"]", names(ListBenchmark.ZONES))
+                    .replace("[\"front-mid\"]", names(ListBenchmark.KINDS));
+            for (int size : SIZES) {
+                took.put(size, play(config, size));
+            }
+        }
+        report.add("in-force-on-all", "ms", Basis.MEASURED, ThreadCost.points(took));
+        Map<Integer, List<Double>> steps = new LinkedHashMap<>();
+        IntStream.of(SIZES).forEach(size -> steps.put(size, List.of(2.0 * size)));
+        report.add("steps", "steps", Basis.RECKONED, ThreadCost.points(steps));
+        ListBenchmark.write(report, "hang-up");
+    }
+
+    private static String names(List<String> names) {
+        return "[\"" + String.join("\",\"", names) + "\"]";
+    }
+
+    private List<Double> play(String config, int size) throws Exception {
+        List<Balancer> balancers = new ArrayList<>();
+        List<Double> took = new ArrayList<>();
+        try {
+            for (int i = 0; i < size; i++) {
+                balancers.add(start(config, size + "-" + i));
+            }
+            // Once before it counts: the first one loads classes, and a day has hundreds.
+            for (int repeat = 0; repeat <= REPEATS; repeat++) {
+                String changed = config.replace("\"worth\":8.0", "\"worth\":" + (9 + repeat) + ".0");
+                long began = System.nanoTime();
+                for (Balancer one : balancers) {
+                    Files.writeString(one.file, changed.replace("\"127.0.0.1:0\"", port(one.file)));
+                    new ProcessBuilder("kill", "-HUP", Long.toString(one.process.pid())).start().waitFor();
+                }
+                for (Balancer one : balancers) {
+                    one.await(repeat + 1);
+                }
+                if (repeat > 0) {
+                    took.add((System.nanoTime() - began) / NANOS_PER_MS);
+                }
+            }
+        } finally {
+            for (Balancer one : balancers) {
+                one.process.destroyForcibly().waitFor();
+            }
+        }
+        return took;
+    }
+
+    /** The address that a file has; the port stays when the file is replaced. */
+    private static String port(Path file) throws IOException {
+        return "\"127.0.0.1:" + Files.readString(file.resolveSibling("port")) + "\"";
+    }
+
+    private Balancer start(String config, String name) throws Exception {
+        Path own = Files.createDirectory(folder.resolve(name));
+        Path temporary = Files.createDirectory(own.resolve("tmp"));
+        Path file = own.resolve("config.json");
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Files.writeString(own.resolve("port"), Integer.toString(port));
+        Files.writeString(file, config.replace("\"127.0.0.1:0\"", port(file)));
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString()));
+        command.addAll(FLAGS);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "cranedeal.node.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().put("PROXY_CONFIG", file.toString());
+        builder.environment().put("TMPDIR", temporary.toString());
+        Balancer balancer = new Balancer(builder.start(), file);
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (true) {
+            try (Socket socket = new Socket()) {
+                socket.connect(new InetSocketAddress("127.0.0.1", port));
+                return balancer;
+            } catch (IOException e) {
+                if (System.nanoTime() > end || !balancer.process.isAlive()) {
+                    balancer.process.destroyForcibly();
+                    throw e;
+                }
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cranedeal/node/ThreadCost.java
@@ -0,0 +1,74 @@
+package cranedeal.node;
+
+import com.sun.management.ThreadMXBean;
+import cranedeal.lab.slope.Point;
+import cranedeal.lab.slope.SlopeReport;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What a piece of code costs the thread that runs it, by size: processor time, and memory allocated. */
+final class ThreadCost {
+
+    /** What is measured. */
+    interface Code {
+        /** Runs once; what it returns keeps the compiler from leaving it out. */
+        Object run() throws IOException, ConfigException;
+    }
+
+    private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    private static final int REPEATS = 5;
+    /** Processor time on each size before anything counts; well over what the first compiler wants. */
+    private static final long WARM_UP_NANOS = 500_000_000;
+    /** Processor time on each size in a repeat. */
+    private static final long REPEAT_NANOS = 150_000_000;
+    private static final double NANOS_PER_US = 1_000;
+
+    private static Object kept;
+
+    private ThreadCost() {
+    }
+
+    /** Adds {@code cpu-NAME} in microseconds and {@code garbage-NAME} in bytes to a report. */
+    static void measure(SlopeReport report, String name, Map<Integer, Code> bySize)
+            throws IOException, ConfigException {
+        for (Code code : bySize.values()) {
+            run(code, WARM_UP_NANOS);
+        }
+        Map<Integer, List<Double>> cpu = new LinkedHashMap<>();
+        Map<Integer, List<Double>> bytes = new LinkedHashMap<>();
+        // By turns, so that what the machine does meanwhile falls on all sizes.
+        for (int repeat = 0; repeat < REPEATS; repeat++) {
+            for (Map.Entry<Integer, Code> one : bySize.entrySet()) {
+                double[] cost = run(one.getValue(), REPEAT_NANOS);
+                cpu.computeIfAbsent(one.getKey(), absent -> new ArrayList<>()).add(cost[0]);
+                bytes.computeIfAbsent(one.getKey(), absent -> new ArrayList<>()).add(cost[1]);
+            }
+        }
+        report.add("cpu-" + name, "us", SlopeReport.Basis.MEASURED, points(cpu));
+        report.add("garbage-" + name, "bytes", SlopeReport.Basis.MEASURED, points(bytes));
+    }
+
+    /** Microseconds and bytes for each run. */
+    private static double[] run(Code code, long nanos) throws IOException, ConfigException {
+        long thread = Thread.currentThread().getId();
+        long began = THREADS.getCurrentThreadCpuTime();
+        long allocated = THREADS.getThreadAllocatedBytes(thread);
+        int times = 0;
+        long spent;
+        do {
+            kept = code.run();
+            times++;
+            spent = THREADS.getCurrentThreadCpuTime() - began;
+        } while (spent < nanos);
+        double made = THREADS.getThreadAllocatedBytes(thread) - allocated;
+        return new double[] {spent / NANOS_PER_US / times, made / times};
+    }
+
+    static List<Point> points(Map<Integer, List<Double>> values) {
+        return values.entrySet().stream().map(one -> new Point(one.getKey(), one.getValue())).toList();
+    }
+}
