Begin no attempt for a caller that has left, also where no event has told so yet

Cause: a caller's end was known only once its event was read. A request and the end behind it come in one pass of the loop: the request was sent on at once, on an idle connection, and the end read after that. So it was for a retry, a second attempt, a held first one, one sent ahead and a connection that came up, where the end lay unread beside their cause.

Now a request that may have waited (a connection's first, or after 50 ms in which nobody read callers) is handled after the read that brought it and one more look; each further or held attempt looks before it is sent and as it begins. What is found to have left is told to the module at once. Bodies that come on their own are not looked at so: open as before.

Not measured: the cost of the further reads.

--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -29,6 +29,9 @@
          */
         void begin(long length, Runnable drained);
 
+        /** Whether it has not left: looks at what the kernel knows, which may be news. */
+        boolean isThere();
+
         /** That was the whole answer. */
         void end();
 
@@ -72,6 +75,14 @@
         return caller != null;
     }
 
+    /**
+     * Whether somebody waits for its answer, by what the kernel knows now. While a body comes on its own, the
+     * connection is being read, or is not to be.
+     */
+    boolean isAwaited() {
+        return isOpen() && (upload != null || caller.isThere());
+    }
+
     /** Whether its answer has begun to go out, and has not ended. */
     boolean isStreaming() {
         return begun && isOpen();
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -85,6 +85,8 @@
     private static final long UNREAD_MS = 5_000;
     /** How many connections that had to make room may be on their way out and still hold a descriptor. */
     private static final int MOST_LEAVING = 8;
+    /** What has come while the loop was away for so long may be of a caller that has left again. */
+    private static final double AWAY_MS = 50;
     /** What the kernel may hold of a large answer. */
     private static final int SEND_BUFFER = 128 * 1_024;
 
@@ -104,6 +106,10 @@
     private boolean draining;
     /** Whether nobody is accepted any more; the socket is closed soon after. */
     private boolean deaf;
+    /** Whether the loop is at the callers' requests; since when, and when it was at those before. */
+    private boolean reading;
+    private double readingSince = Double.NEGATIVE_INFINITY;
+    private double readBefore = Double.NEGATIVE_INFINITY;
     /** What the front hears when it asks how this balancer does. */
     private HttpResponseStatus health = HttpResponseStatus.OK;
     /** Callers turned down since it was last told: for what they sent, and for what they did not send. */
@@ -263,6 +269,18 @@
                 .forEach(connection -> connection.shutDown());
     }
 
+    /** Whether what is read now may have waited for long: nobody has looked since. */
+    private boolean mayHaveWaited() {
+        double now = node.now();
+        if (!reading) {
+            reading = true;
+            readBefore = readingSince;
+            readingSince = now;
+            loop.execute(() -> reading = false);
+        }
+        return now > readBefore + AWAY_MS;
+    }
+
     /** Closes the caller's connection that has been idle for longest, as it may between requests. */
     private boolean evictIdle() {
         for (Connection connection : new ArrayList<>(connections)) {
@@ -410,13 +428,34 @@
             ended = !request.decoderResult().isSuccess() || !HttpUtil.isKeepAlive(request)
                     || !isGet(request) && !isPost(request)
                     || ahead.size() == MAX_AHEAD - 1 || !channel.isWritable();
-            if (current == null) {
+            if (current != null) {
+                ahead.addLast(request.retain());
+            } else if (served && !mayHaveWaited()) {
                 handle(request.retain());
             } else {
-                ahead.addLast(request.retain());
+                // A new one may have waited long to be accepted. Its end can be read after this read only.
+                current = request.retain();
+                loop.execute(this::handleIfThere);
             }
         }
 
+        /** Goes on with the request at hand unless its caller has left. */
+        private void handleIfThere() {
+            readNow();
+            if (current != null && channel.isActive()) {
+                handle(current);
+            }
+        }
+
+        @Override
+        public boolean isThere() {
+            // Without an exchange its request is only being read: whoever reads it has looked.
+            if (exchange != null) {
+                readNow();
+            }
+            return channel.isActive();
+        }
+
         private void handle(FullHttpRequest request) {
             current = request;
             exchange = null;
@@ -567,9 +606,9 @@
                 shutDown(unread, early ? unread : LINGER_MS);
                 return;
             }
-            FullHttpRequest next = ahead.pollFirst();
-            if (next != null) {
-                handle(next);
+            current = ahead.pollFirst();
+            if (current != null) {
+                handleIfThere();
             }
         }
 
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -707,6 +707,13 @@
         }
     }
 
+    /** An attempt is to begin: it must not if the client has left, though no event has told that yet. */
+    private void noteIfLeft(Exchange exchange) {
+        if (!exchange.isAwaited()) {
+            clientGone(exchange);
+        }
+    }
+
     /** Ends what is under way for a client that waits no more, and tells the module so. */
     private void leave(Exchange exchange) {
         exchange.attempts.forEach(Node::cancel);
@@ -775,6 +782,7 @@
         double now = clock.now();
         int number = exchange.sends++;
         exchange.running++;
+        noteIfLeft(exchange);
         if (!exchange.isOpen() || now >= exchange.deadline
                 || number >= config.settings().limits().maxAttempts()
                 || exchange.upload != null && !exchange.upload.isRepeatable()) {
@@ -791,6 +799,7 @@
 
             @Override
             public boolean mayBegin() {
+                noteIfLeft(exchange);
                 return exchange.mayBegin(number, clock.now());
             }
 
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -387,8 +387,13 @@
             // NaN compares false: a ready upstream takes anything.
             boolean drained = now >= target.drainingSince + settings.rules().drainGrace();
             boolean restarted = !target.isStill(meant);
-            if (drained || restarted || now >= until || upload != null && !upload.isRepeatable()
-                    || !listener.mayBegin()) {
+            boolean late = drained || restarted || now >= until || upload != null && !upload.isRepeatable()
+                    || !listener.mayBegin();
+            if (over) {
+                // Whoever was asked has called it off, and its connection is closed.
+                return;
+            }
+            if (late) {
                 if (restarted) {
                     channel.close();
                 } else {
