Begin nothing at an upstream that has left the list, however long its grace

Cause: Attempt.begin let an attempt whose connection came up late begin for as long as the grace of a drain, also at an upstream that a whole list no longer named and that still answered.

Now nothing begins there once the list is taken in.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -384,8 +384,9 @@
         private void begin(Connection connection) {
             channel = connection.channel;
             double now = clock.now();
-            // NaN compares false: a ready upstream takes anything.
-            boolean drained = now >= target.drainingSince + settings.rules().drainGrace();
+            // NaN compares false: a ready upstream takes anything. One that is gone takes nothing more.
+            boolean drained = !target.listed
+                    || now >= target.drainingSince + settings.rules().drainGrace();
             boolean restarted = !target.isStill(meant);
             boolean late = drained || restarted || now >= until || upload != null && !upload.isRepeatable()
                     || !listener.mayBegin();
