--- a/src/main/java/cranedeal/node/DiscoveryWatch.java
+++ b/src/main/java/cranedeal/node/DiscoveryWatch.java
@@ -38,7 +38,7 @@
             if (roster != null) {
                 told.accept(roster.version());
             }
-        }, Discovery.WATCH_MS);
+        }, WatchPlan.WATCH_MS);
         loop.execute(() -> client.push(true));
         return new DiscoveryWatch(loop, client);
     }
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -40,7 +40,7 @@
     }
 
     /** For how many ms it is taken for granted that a caller is still there. */
-    private static final double SURELY_THERE_MS = 10;
+    private static final double SURELY_THERE_MS = 1;
 
     final long id;
     /** Its class's name as the configuration has it, and the class by the settings of its arrival. */
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -410,13 +410,18 @@
         private void begin(Connection connection) {
             channel = connection.channel;
             double now = clock.now();
-            // NaN compares false: a ready upstream takes anything.
-            boolean drained = now >= target.drainingSince + settings.rules().drainGrace();
+            // NaN compares false: a ready upstream takes anything. One that is gone takes nothing more.
+            boolean drained = !target.listed
+                    || now >= target.drainingSince + settings.rules().drainGrace();
             boolean restarted = !target.isStill(meant);
-            if (drained || restarted || now >= until || upload != null && !upload.isRepeatable()
-                    || !listener.mayBegin()) {
-                // It may have been called off by that question, with its connection.
-                if (restarted || over) {
+            boolean late = drained || restarted || now >= until || upload != null && !upload.isRepeatable()
+                    || !listener.mayBegin();
+            if (over) {
+                // Whoever was asked has called it off, and its connection is closed.
+                return;
+            }
+            if (late) {
+                if (restarted) {
                     channel.close();
                 } else {
                     connection.park(target);
--- a/src/test/java/cranedeal/node/DiscoveryBenchmark.java
+++ b/src/test/java/cranedeal/node/DiscoveryBenchmark.java
@@ -151,7 +151,7 @@
             threads.shutdownNow();
         }
         SlopeReport report = new SlopeReport("discovery", COMMAND, "upstream")
-                .with("watch_ms", Discovery.WATCH_MS).with("release_ms", RELEASE_MS)
+                .with("watch_ms", WatchPlan.WATCH_MS).with("release_ms", RELEASE_MS)
                 .with("zones", ZONES).with("not_in_it", "TCP and IP headers");
         Map<Integer, List<Double>> points = new LinkedHashMap<>();
         add(report, "whole-list", "bytes", runs, (size, seen) -> seen.whole().bytes());
@@ -223,7 +223,7 @@
         AtomicLong told = new AtomicLong();
         Discovery discovery = loop.submit(() -> new Discovery(loop, config, UnpooledByteBufAllocator.DEFAULT,
                 (change, roster) -> told.addAndGet(change == Change.FAILED ? 1_000_000 : 1),
-                Discovery.WATCH_MS)).sync().getNow();
+                WatchPlan.WATCH_MS)).sync().getNow();
         Passed before = counter.passed();
         loop.submit(discovery::fetch).sync();
         Thread.sleep(QUIET_MS);
--- a/src/test/java/cranedeal/node/ReloadBenchmark.java
+++ b/src/test/java/cranedeal/node/ReloadBenchmark.java
@@ -85,7 +85,7 @@
             Map<Integer, ThreadCost.Code> take) throws Exception {
         NodeConfig inForce = NodeConfig.read(file.toString());
         LoadBalancer balancer = ListBenchmark.module(inForce.settings(), upstreams);
-        read.put(size, () -> NodeConfig.read(file.toString(), inForce));
+        read.put(size, () -> NodeConfig.read(file.toString(), inForce, null));
         take.put(size, () -> {
             balancer.retuned(1e6, inForce.settings());
             return balancer;
