--- a/src/main/java/cranedeal/fleet/config/ConfigLog.java
+++ b/src/main/java/cranedeal/fleet/config/ConfigLog.java
@@ -39,6 +39,8 @@
     /** Until when a change has to be with a majority, or its author is told that it is not yet. */
     static final double PATIENCE_MS = 3_000;
     private static final int TAKE_OVER_TRIES = 3;
+    /** A take-over that has not won after so long never does. */
+    private static final double OUTBID_MS = 2 * PATIENCE_MS;
 
     /** How a publish, a rollback or a take-over came out. */
     enum Result {
@@ -89,6 +91,8 @@
         private double nextAt;
         private Set<VersionId> have = new HashSet<>();
         private boolean heard;
+        /** Since when it refuses for an epoch that nobody leads; infinite if it does not. */
+        private double outbidSince = Double.POSITIVE_INFINITY;
     }
 
     /** A take-over that is under way. */
@@ -121,6 +125,8 @@
     /** Who is to be told of the one version that is not committed yet. */
     private final List<Change> pending = new ArrayList<>();
     private long highestSeen;
+    /** The highest epoch of which a leader was heard, which had a majority's promise by then. */
+    private long electedEpoch;
     private Candidacy candidacy;
     /** The version of which it was last told that the disk can't take that it is committed. */
     private VersionId notNoted = VersionId.NONE;
@@ -487,13 +493,17 @@
         if (!leads() || peer == null) {
             return;
         }
-        if (answer.promised() > state.promised) {
-            actions.log("leads no longer: epoch " + answer.promised() + " was promised to "
-                    + answer.leader());
+        if (answer.promised() > state.promised && answer.elected()) {
+            actions.log("leads no longer: epoch " + answer.promised() + " of " + answer.leader());
             follow(answer.promised(), answer.leader());
             return;
         }
         peer.asked = false;
+        if (answer.promised() > state.promised) {
+            outbid(peer, answer);
+            return;
+        }
+        peer.outbidSince = Double.POSITIVE_INFINITY;
         peer.heard = true;
         peer.have = answer.have();
         // One that can't write, as on a full disk, is not asked at once again.
@@ -503,6 +513,23 @@
         sendDue();
     }
 
+    /**
+     * Another coordinator has promised a higher epoch to one that a majority has not. That ends no leader,
+     * but it can't follow this one any more; so this one takes over anew, once that other try is surely over.
+     */
+    private void outbid(Peer peer, Replication.Answer answer) {
+        peer.nextAt = now + HEARTBEAT_MS;
+        if (Double.isInfinite(peer.outbidSince)) {
+            peer.outbidSince = now;
+        } else if (now - peer.outbidSince >= OUTBID_MS && candidacy == null) {
+            peer.outbidSince = Double.POSITIVE_INFINITY;
+            actions.log("takes over anew, as epoch " + answer.promised() + " was promised to "
+                    + answer.leader() + ", which does not lead");
+            stand(TAKE_OVER_TRIES, (result, id, why) -> actions.log("has taken over anew: " + result + ", "
+                    + why));
+        }
+    }
+
     /** No answer came from another coordinator. */
     void unreached(double time, String peer) {
         now = time;
@@ -624,6 +651,7 @@
     Replication.Answer append(double time, Replication.Append question) {
         now = time;
         highestSeen = Math.max(highestSeen, question.epoch());
+        electedEpoch = Math.max(electedEpoch, question.epoch());
         boolean other = !question.leader().equals(state.leader);
         if (question.epoch() < state.promised || question.epoch() == state.promised && other && leads()) {
             return answer(false, List.of());
@@ -660,7 +688,8 @@
     }
 
     private Replication.Answer answer(boolean accepted, List<Version> versions) {
-        return new Replication.Answer(accepted, state.promised, state.leader, state.committed,
+        return new Replication.Answer(accepted, state.promised, state.leader,
+                leads() || electedEpoch == state.promised, state.committed,
                 new TreeSet<>(state.versions.keySet()), versions);
     }
 
--- a/src/main/java/cranedeal/fleet/config/Replication.java
+++ b/src/main/java/cranedeal/fleet/config/Replication.java
@@ -62,15 +62,17 @@
      *
      * @param accepted whether it was done, and what it holds is forced to disk
      * @param promised the highest epoch that was promised, and to whom
+     * @param elected whether a majority is known to have promised that one
      * @param have the versions that it keeps
      * @param versions those that a new leader lacks; empty but for {@link Prepare}
      */
-    record Answer(boolean accepted, long promised, String leader, VersionId committed, Set<VersionId> have,
-            List<Version> versions) {
+    record Answer(boolean accepted, long promised, String leader, boolean elected, VersionId committed,
+            Set<VersionId> have, List<Version> versions) {
 
         ObjectNode json() {
             ObjectNode json = Manifest.JSON.createObjectNode().put("accepted", accepted)
-                    .put("promised", promised).put("leader", leader).put("committed", committed.toString());
+                    .put("promised", promised).put("leader", leader).put("elected", elected)
+                    .put("committed", committed.toString());
             writeIds(json, "have", have);
             ArrayNode bodies = json.putArray("versions");
             versions.forEach(version -> bodies.add(version.json()));
@@ -83,7 +85,8 @@
                 versions.add(Version.parse(one));
             }
             return new Answer(json.path("accepted").asBoolean(), json.path("promised").asLong(),
-                    json.path("leader").asText(), id(json, "committed"), readIds(json, "have"), versions);
+                    json.path("leader").asText(), json.path("elected").asBoolean(), id(json, "committed"),
+                    readIds(json, "have"), versions);
         }
     }
 
