Bound what a member serves of the configuration by bytes, not by calls

Cause: who has a version first is asked for it by many at once, and 50 calls a second are 130 kB: 47,647 to 64,394 bytes sent and received in the worst second of the worst member, where 18 kB are allowed for control.

A member now serves 8 kB a second, with a burst of as many; the play counts it too, and tells a refusal from 'nothing newer' as the shell does. The bucket is named for what it is, a token bucket.

--- a/src/main/java/cranedeal/fleet/config/ConfigFollower.java
+++ b/src/main/java/cranedeal/fleet/config/ConfigFollower.java
@@ -96,7 +96,7 @@
     private final Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
-    private final CallBudget budget;
+    private final TokenBucket budget;
     private final Map<InetSocketAddress, Peer> peers = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
@@ -137,7 +137,7 @@
         this.settings = settings;
         this.actions = actions;
         random = new SplittableRandom(seed);
-        budget = new CallBudget(settings.burst(), settings.callsPerS());
+        budget = new TokenBucket(settings.burst(), settings.callsPerS());
     }
 
     /** Begins with what it kept when it last ran, which it tries again. */
--- a/src/main/java/cranedeal/fleet/config/ConfigMember.java
+++ b/src/main/java/cranedeal/fleet/config/ConfigMember.java
@@ -30,8 +30,13 @@
     private static final Logger LOG = Logger.getLogger(ConfigMember.class.getPackageName());
     private static final double NANOS_PER_MS = 1e6;
     private static final long IDLE_S = 5;
-    /** What members serve one another in a second. */
-    private static final int MOST_SERVED_PER_S = 50;
+    /**
+     * How many bytes one member serves others in a second, with a burst of as many: who has a version first
+     * is asked by many at once, and the rest find it with others soon.
+     */
+    private static final int SERVED_BYTES_PER_S = 8_000;
+    /** Question and answer without the body: request line, status line, headers. */
+    static final int CALL_BYTES = 350;
 
     /** Whether a section can be gone by. */
     public interface Trial {
@@ -91,7 +96,7 @@
     private final Trial trial;
     private final Executor executor;
     private final ConfigFollower follower;
-    private final CallBudget served = new CallBudget(MOST_SERVED_PER_S, MOST_SERVED_PER_S);
+    private final TokenBucket served = servingBudget();
     private double armedFor = Double.POSITIVE_INFINITY;
     private boolean started;
 
@@ -118,6 +123,10 @@
         member.extend(this);
     }
 
+    static TokenBucket servingBudget() {
+        return new TokenBucket(SERVED_BYTES_PER_S, SERVED_BYTES_PER_S);
+    }
+
     private static Executor ownThread() {
         ThreadPoolExecutor one = new ThreadPoolExecutor(1, 1, IDLE_S, TimeUnit.SECONDS,
                 new LinkedBlockingQueue<>(), new DefaultThreadFactory("config", true));
@@ -195,12 +204,11 @@
             return ConfigCalls.done(CallReply.json(CallReply.OK, status().toString()
                     .getBytes(StandardCharsets.UTF_8)));
         }
-        if (!served.take(member.now())) {
-            return ConfigCalls.done(CallReply.text(ConfigCalls.UNAVAILABLE, "try again"));
-        }
-        return ConfigCalls.done(asked.path().equals(ConfigCalls.MANIFEST)
+        CallReply reply = asked.path().equals(ConfigCalls.MANIFEST)
                 ? ConfigCalls.manifest(follower.state().held(), asked)
-                : ConfigCalls.section(follower.section(ConfigCalls.parameter(asked, "checksum"))));
+                : ConfigCalls.section(follower.section(ConfigCalls.parameter(asked, "checksum")));
+        return ConfigCalls.done(served.takeAll(member.now(), CALL_BYTES + reply.body().length) ? reply
+                : CallReply.text(ConfigCalls.UNAVAILABLE, "try again"));
     }
 
     /** What it has, for operators. */
--- a/src/main/java/cranedeal/fleet/config/Coordinator.java
+++ b/src/main/java/cranedeal/fleet/config/Coordinator.java
@@ -57,7 +57,7 @@
     private final ConfigLog log;
     private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(
             new DefaultThreadFactory("coordinator", true));
-    private final CallBudget served = servingBudget();
+    private final TokenBucket served = servingBudget();
     private volatile Version current;
     private ScheduledFuture<?> armed;
     private double armedFor = Double.POSITIVE_INFINITY;
@@ -94,8 +94,8 @@
         member.extend(this);
     }
 
-    static CallBudget servingBudget() {
-        return new CallBudget(MOST_CALLS_PER_S, MOST_CALLS_PER_S);
+    static TokenBucket servingBudget() {
+        return new TokenBucket(MOST_CALLS_PER_S, MOST_CALLS_PER_S);
     }
 
     /** Starts it; what it takes goes on after this returns. */
--- a/src/main/java/cranedeal/fleet/config/CallBudget.java
+++ b/src/main/java/cranedeal/fleet/config/TokenBucket.java
@@ -1,7 +1,7 @@
 package cranedeal.fleet.config;
 
-/** A token bucket: how many calls may be made at once, and how many a second over time. */
-final class CallBudget {
+/** A token bucket: how much may be spent at once, and how much a second over time. */
+final class TokenBucket {
 
     private static final double MS_PER_S = 1_000;
 
@@ -10,7 +10,7 @@
     private double tokens;
     private double at = Double.NEGATIVE_INFINITY;
 
-    CallBudget(double most, double perSecond) {
+    TokenBucket(double most, double perSecond) {
         this.most = most;
         perMs = perSecond / MS_PER_S;
         tokens = most;
@@ -26,6 +26,16 @@
         return true;
     }
 
+    /** Takes so many if there is any left, and owes those that there are not. */
+    boolean takeAll(double now, double amount) {
+        refill(now);
+        if (tokens <= 0) {
+            return false;
+        }
+        tokens -= amount;
+        return true;
+    }
+
     /** When there is one again. */
     double nextAt(double now) {
         refill(now);
--- a/src/test/java/cranedeal/fleet/config/ConfigFleet.java
+++ b/src/test/java/cranedeal/fleet/config/ConfigFleet.java
@@ -38,8 +38,6 @@
     private static final int HOSTS = 250;
     /** One of so many datagrams is encoded, to see how large they are. */
     private static final int SAMPLE = 16;
-    /** Question and answer without the body: request line, status line, headers. */
-    private static final int CALL_BYTES = 350;
 
     /** A version that somebody has not come to yet. */
     private record Due(VersionId id, double since) { }
@@ -54,7 +52,8 @@
         final String service;
         /** Null for a member. */
         final Coordinators.Node node;
-        private final CallBudget served = Coordinator.servingBudget();
+        /** Calls that a coordinator answers, bytes that a member does. */
+        private final TokenBucket served;
         private Membership core;
         ConfigFollower follower;
         private FollowerState disk = FollowerState.NOTHING;
@@ -75,6 +74,7 @@
         Party(int index, Coordinators.Node node) {
             this.index = index;
             this.node = node;
+            served = node == null ? ConfigMember.servingBudget() : Coordinator.servingBudget();
             address = addressOf(index);
             // Coordinators in three zones of two regions.
             zoneIndex = node != null ? 2 * index : index % ZONES;
@@ -268,14 +268,22 @@
                 if (target.node != null) {
                     target.callsBySecond.merge((long) (world.now / 1_000), 1, Integer::sum);
                 }
-                T answer = target.node == null || target.served.take(world.now) ? question.apply(target)
-                        : null;
-                int bytes = CALL_BYTES + (answer == null ? 0 : size.apply(answer));
+                T answer = question.apply(target);
+                int body = answer == null ? 0 : size.apply(answer);
+                boolean isServed = target.node != null ? target.served.take(world.now)
+                        : target.served.takeAll(world.now, ConfigMember.CALL_BYTES + body);
+                int bytes = ConfigMember.CALL_BYTES + (isServed ? body : 0);
                 target.countCall(bytes);
                 countCall(bytes);
                 world.at(world.now + delay(target, this), () -> {
                     if (its == process) {
-                        run(() -> answered.accept(answer));
+                        run(() -> {
+                            if (isServed) {
+                                answered.accept(answer);
+                            } else {
+                                follower.failed(world.now, number);
+                            }
+                        });
                     }
                 });
             }));
