--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -107,8 +107,8 @@
     }
 
     /**
-     * Whether somebody waits for its answer, and has not left while this process was busy elsewhere. Who sends
-     * a body that comes on its own is not asked: its connection is being read, or reading it is to wait.
+     * Whether somebody waits for its answer, and has not left while this process was busy elsewhere. Who
+     * sends a body that comes on its own is not asked: its connection is being read, or reading is to wait.
      */
     boolean isAwaited(double now) {
         if (!isOpen() || upload != null || now <= seenAt + SURELY_THERE_MS) {
