--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -94,6 +94,8 @@
     private static final double OWED_WITHIN = 5_000;
     /** Share of l that counts for a server that is owed a call: most of a few draws should find it. */
     private static final double OWED = 0.1;
+    /** How many times the usual it earns while cold: siblings owe their calls at one time. */
+    private static final double OWED_EARNS = 3;
     /** Ms after which a request that finds no server to go to looks again; well below any aim. */
     private static final double LOOK_AGAIN = 20;
     /** Least and, with as much again at random, most wait before the registry is asked again, of askEvery. */
@@ -526,14 +528,9 @@
         }
         double part = Math.min(1, COLD_MARGIN * settings.rules().fallMultiple());
         part /= Math.max(warm, Math.max(call.record.spread, open.size()) / 2);
-        double rate = evidence / EVIDENCE_FADE;
         for (Server server : open) {
-            server.coldBudget = Math.min(1, server.coldBudget + part * warmth(server, now));
-            // One call must be within this instance's part of what the rule allows until it is due.
-            if (isOwed(server, now) && rate * settings.rules().fallMultiple() * warmth(server, now)
-                    * OWED_WITHIN >= 1) {
-                server.coldBudget = 1;
-            }
+            double earned = part * warmth(server, now) * (isOwed(server, now) ? OWED_EARNS : 1);
+            server.coldBudget = Math.min(1, server.coldBudget + earned);
         }
     }
 
--- a/src/test/java/cranedeal/ColdFleetBenchmark.java
+++ b/src/test/java/cranedeal/ColdFleetBenchmark.java
@@ -29,6 +29,8 @@
                 Repeats.MARKED, Start.LISTED);
         List<Case> cases = new ArrayList<>();
         cases.add(plain);
+        cases.add(plain.named("put back").with(Start.PUT_BACK));
+        cases.add(plain.named("put back, thin").with(Start.PUT_BACK).rate(rate / 3));
         cases.add(plain.named("burst at the start").burst(3, 0));
         cases.add(plain.named("burst later").burst(3, 3_000));
         cases.add(plain.named("burst, unmarked").burst(3, 3_000).with(Repeats.UNMARKED));
