Measure what a balancer short of processor time serves: lab slope goodput

Need: a rig that offers a real balancer more than its processor carries, on one processor that busy processes may share. Clients hang up half a second after a call's time, as then it is lost; the bench waited 10 s before.

--- a/src/main/java/cranedeal/lab/slope/DataPathClient.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathClient.java
@@ -41,6 +41,8 @@
     private static final double NANOS_PER_S = 1e9;
     private static final long LONGEST_NANOS = 60_000_000_000L;
     private static final long ANSWER_S = 10;
+    /** After its patience and half a second more a call is lost; the client hangs up. */
+    private static final long GIVE_UP_MS = 2_550;
     /** How far before a call is due the thread stops to sleep: the kernel wakes it some 50 us late. */
     private static final long SPIN_NANOS = 80_000;
     private static final int OK = 200;
@@ -70,13 +72,14 @@
      * @param calls how many were due; each of them is counted in one of the next four
      * @param refused answered 503: the balancer turned them away
      * @param failed answered otherwise, or their connection broke
-     * @param unanswered without any answer 10 s after the last was sent
+     * @param unanswered without any answer half a second after their time
+     * @param ended how many of the failed ones saw their connection end without an answer
      * @param refusals the ids of the first refused calls
      * @param latency from a call's writing to its whole answer, of those served, in nanoseconds
      * @param lateness from when a call was due to its writing, in nanoseconds: the generator's own fault
      */
-    record Block(long calls, long served, long refused, long failed, long unanswered, List<String> refusals,
-            Histogram latency, Histogram lateness) { }
+    record Block(long calls, long served, long refused, long failed, long unanswered, long ended,
+            List<String> refusals, Histogram latency, Histogram lateness) { }
 
     private static final class Tally {
 
@@ -87,6 +90,7 @@
         private long served;
         private long refused;
         private long failed;
+        private long ended;
         private final List<String> refusals = new ArrayList<>();
         private final Histogram latency = new Histogram(LONGEST_NANOS, 3);
         private final Histogram lateness = new Histogram(LONGEST_NANOS, 3);
@@ -97,7 +101,7 @@
         }
 
         Block block() {
-            return new Block(calls, served, refused, failed, calls - served - refused - failed,
+            return new Block(calls, served, refused, failed, calls - served - refused - failed, ended,
                     List.copyOf(refusals), latency.copy(), lateness.copy());
         }
     }
@@ -212,10 +216,20 @@
             request.headers().set("Host", "app.svc").set("X-Txn", id).set("X-Lane", DataPathConfig.CLASS)
                     .set("X-Remaining", DataPathConfig.PATIENCE_S);
             sentAt = System.nanoTime();
+            String sent = id;
+            channel.eventLoop().schedule(() -> giveUp(to, sent), GIVE_UP_MS, TimeUnit.MILLISECONDS);
             block.lateness.recordValue(Math.min(LONGEST_NANOS, Math.max(0, sentAt - dueAt)));
             channel.writeAndFlush(request);
         }
 
+        private void giveUp(Tally to, String waited) {
+            if (block == to && waited.equals(id)) {
+                block = null;
+                to.open.countDown();
+                channel.close();
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
             long took = System.nanoTime() - sentAt;
@@ -253,6 +267,7 @@
             }
             if (block != null) {
                 block.failed++;
+                block.ended++;
                 block.open.countDown();
                 block = null;
             }
--- a/src/main/java/cranedeal/lab/slope/DataPathConfig.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathConfig.java
@@ -16,7 +16,8 @@
     static final String PATIENCE_S = "2.000";
     static final String ZONE = "a";
     static final String KIND = "plain";
-    private static final int SOCKETS = 4_096;
+    /** The descriptors that a balancer may hold, where nothing is said of them. */
+    static final int SOCKETS = 4_096;
     private static final double DEADLINE_MS = 2_000;
     private static final double AIM_MS = 500;
     private static final long FIRST_VERSION = 41;
@@ -43,10 +44,10 @@
     }
 
     static ObjectNode of(InetSocketAddress listen, InetSocketAddress discovery,
-            List<InetSocketAddress> upstreams) {
+            List<InetSocketAddress> upstreams, int sockets) {
         ObjectNode root = JSON.createObjectNode().put("name", "n0").put("listen", text(listen))
                 .put("discovery", text(discovery)).put("seed", "0000000000000001");
-        root.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", SOCKETS);
+        root.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", sockets);
         root.set("known", list(upstreams));
         ObjectNode settings = root.putObject("settings").put("position", 0).put("siblings", 1).put("tier", 0)
                 .put("zone", 0).put("registryMode", "subscribe").put("worthBy", "request")
--- a/src/main/java/cranedeal/lab/slope/DataPathStage.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathStage.java
@@ -41,6 +41,28 @@
     private static final double NANOS_PER_US = 1e3;
     private static final int BYTES_PER_KB = 1_024;
 
+    /** Runs on one processor and does nothing else, at normal priority. */
+    private static final List<String> BUSY = List.of("sh", "-c", "while :; do :; done");
+
+    /**
+     * The processor that the balancer runs on.
+     *
+     * @param number as the kernel counts them; negative for any
+     * @param competitors busy processes of normal priority that share it
+     */
+    record Processor(int number, int competitors) {
+
+        /** Any, shared with nobody. */
+        static final Processor ANY = new Processor(-1, 0);
+
+        List<String> bind(List<String> command) {
+            List<String> bound = new ArrayList<>(number < 0 ? List.of()
+                    : List.of("taskset", "-c", Integer.toString(number)));
+            bound.addAll(command);
+            return bound;
+        }
+    }
+
     private final Path folder;
     private final Warden warden;
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2,
@@ -58,6 +80,17 @@
      * @param workUs how long each upstream takes for an answer, in microseconds
      */
     DataPathStage(List<String> program, int count, long workUs) throws IOException, InterruptedException {
+        this(program, count, workUs, DataPathConfig.SOCKETS, Processor.ANY);
+    }
+
+    /**
+     * The same with a balancer that is short of something.
+     *
+     * @param sockets the descriptors that it may hold
+     * @param processor what it runs on
+     */
+    DataPathStage(List<String> program, int count, long workUs, int sockets, Processor processor)
+            throws IOException, InterruptedException {
         folder = Files.createTempDirectory("data-path");
         warden = new Warden();
         Path ports = folder.resolve("ports");
@@ -77,12 +110,15 @@
             discovery.list(DataPathConfig.id(i), i, DataPathConfig.ZONE, DataPathConfig.KIND, 0, 1).sync();
         }
         Path config = folder.resolve("config.json");
-        Files.writeString(config, DataPathConfig.of(listen, list, upstreams).toPrettyString());
+        Files.writeString(config, DataPathConfig.of(listen, list, upstreams, sockets).toPrettyString());
         List<String> command = new ArrayList<>(program);
         command.add(1, OPTION);
         command.add("serve");
-        balancer = warden.start("balancer", command, Map.of("PROXY_CONFIG", config.toString()), log());
+        balancer = warden.start("balancer", processor.bind(command), Map.of("PROXY_CONFIG", config.toString()), log());
         await(balancer, this::listens);
+        for (int i = 0; i < processor.competitors(); i++) {
+            warden.start("busy" + i, processor.bind(BUSY), Map.of(), folder.resolve("busy.txt"));
+        }
     }
 
     private interface Condition {
@@ -144,6 +180,18 @@
         return nanos / NANOS_PER_US;
     }
 
+    /** The list that the balancer has, to be changed by discovery. */
+    DiscoveryServer discovery() {
+        return discovery;
+    }
+
+    /** The descriptors that the balancer holds now. */
+    int descriptors() throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(balancer.pid()), "fd"))) {
+            return (int) open.count();
+        }
+    }
+
     /** The balancer's resident memory. */
     long rssKb() throws IOException {
         return balancer.usage().orElseThrow(() -> new IOException("the balancer has ended")).rssKb();
--- a/src/main/java/cranedeal/lab/slope/DataPathStudy.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathStudy.java
@@ -129,13 +129,14 @@
         return stage.client().play(stage.upstreams(), rate, seconds, number);
     }
 
-    private static Map<String, Object> told(DataPathClient.Block block) {
+    static Map<String, Object> told(DataPathClient.Block block) {
         Map<String, Object> counts = new LinkedHashMap<>();
         counts.put("calls", block.calls());
         counts.put("served", block.served());
         counts.put("refused", block.refused());
         counts.put("failed", block.failed());
         counts.put("unanswered", block.unanswered());
+        counts.put("ended", block.ended());
         if (!block.refusals().isEmpty()) {
             counts.put("refusals", block.refusals());
         }
