--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -149,6 +149,8 @@
     private double coldUntil = Double.NEGATIVE_INFINITY;
     /** Own calls of late for each ready server. */
     private double evidence;
+    private long draws;
+    private long examined;
 
     /** Creates an instance that asks its host for actions through {@code actions}. */
     public LatencyWeightedBalancer(Actions actions) {
@@ -400,6 +402,8 @@
      */
     private Server draw(Call call, boolean untried, double now) {
         double tries = 0;
+        draws++;
+        examined += ready.size();
         for (Server server : ready) {
             tries += server.tries;
             boolean usable = mayGoTo(call, server, now) && !(untried && call.tried(server))
@@ -415,6 +419,8 @@
             return drawn;
         }
         call.worst = Math.min(call.worst, NOT_MUCH_WORSE * atRest(drawn, call, now));
+        draws++;
+        examined += ready.size();
         for (Server server : ready) {
             if (server.weight > 0 && (!isOpen(server, call, now) || atRest(server, call, now) > call.worst)) {
                 server.weight = 0;
@@ -803,6 +809,12 @@
         return expected(call) * call.record.slowRatio;
     }
 
+    @Override
+    public Work work() {
+        int held = (int) calls.values().stream().filter(call -> !call.done && call.attempts.isEmpty()).count();
+        return new Work(draws, examined, held);
+    }
+
     @Override
     public Learnt learnt(double now) {
         servers.values().forEach(server -> server.fade(now, EVIDENCE_FADE, FADE_STEP));
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -38,6 +38,11 @@
         return 0;
     }
 
+    /** What the decisions have cost so far. */
+    default Work work() {
+        return Work.NONE;
+    }
+
     /** What is known by now that is of use to a later process of this instance; not what is under way. */
     default Learnt learnt(double now) {
         return Learnt.NOTHING;
@@ -173,6 +178,19 @@
     record Outcome(long requestId, int attempt, long upstream, Result result, boolean closed, double elapsed,
             double[] report) { }
 
+    /**
+     * What the decisions of an instance have cost.
+     *
+     * @param draws how many draws of an upstream there were since the start
+     * @param examined how many upstreams these have looked at
+     * @param held how many requests wait now for an upstream that can take them
+     */
+    record Work(long draws, long examined, int held) {
+
+        /** Nothing, or not known. */
+        public static final Work NONE = new Work(0, 0, 0);
+    }
+
     /**
      * What an instance has learnt of classes and upstreams.
      *
--- a/src/test/java/cranedeal/Bench.java
+++ b/src/test/java/cranedeal/Bench.java
@@ -39,7 +39,7 @@
     private final Map<Long, Integer> attempts = new HashMap<>();
     private final PriorityQueue<Alarm> alarms =
             new PriorityQueue<>(Comparator.comparingDouble(Alarm::at).thenComparingLong(Alarm::order));
-    private long alarmsSet;
+    long alarmsSet;
 
     Bench(Settings settings, long seed) {
         this.settings = settings;
@@ -65,6 +65,10 @@
         balancer.retuned(now, replaced);
     }
 
+    LoadBalancer.Work work() {
+        return balancer.work();
+    }
+
     int avoided() {
         return balancer.avoided();
     }
--- /dev/null
+++ b/src/test/java/cranedeal/lab/slope/OverloadTest.java
@@ -0,0 +1,43 @@
+package cranedeal.lab.slope;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cranedeal.lab.LabCommand.ProgramUnderTest;
+import cranedeal.lab.slope.DataPathStage.Processor;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * A balancer that is offered more than its processor carries: a real process on one processor, which a busy
+ * process shares. How much it serves is not asserted; that each call has its answer is.
+ */
+@Timeout(180)
+class OverloadTest {
+
+    private static final int SOCKETS = 1_024;
+    private static final double CALM_RATE = 50;
+    /** Far over what half a processor carries. */
+    private static final double OVERLOAD_RATE = 4_000;
+    private static final double OVERLOAD_S = 5;
+    private static final double RECOVERY_S = 2;
+    private static final double AFTER_S = 2;
+
+    @Test
+    void eachCallIsAnsweredInItsTimeUnderOverload() throws Exception {
+        try (DataPathStage stage = new DataPathStage(new ProgramUnderTest().command(), 25, 0, SOCKETS,
+                new Processor(0, 1))) {
+            List<InetSocketAddress> balancer = List.of(stage.listen());
+            stage.client().play(balancer, CALM_RATE, RECOVERY_S, 1);
+            DataPathClient.Block load = stage.client().play(balancer, OVERLOAD_RATE, OVERLOAD_S, 2);
+            stage.client().play(balancer, CALM_RATE, RECOVERY_S, 3);
+            DataPathClient.Block after = stage.client().play(balancer, CALM_RATE, AFTER_S, 4);
+            assertEquals(0, load.unanswered(), () -> "under load: " + DataPathStudy.told(load));
+            assertEquals(0, load.failed(), () -> "under load: " + DataPathStudy.told(load));
+            assertTrue(load.served() > 0, () -> "under load: " + DataPathStudy.told(load));
+            assertEquals(after.calls(), after.served(), () -> "after it: " + DataPathStudy.told(after));
+        }
+    }
+}
