--- a/src/main/java/cranedeal/lab/process/Child.java
+++ b/src/main/java/cranedeal/lab/process/Child.java
@@ -82,6 +82,17 @@
         }
     }
 
+    /**
+     * How many descriptors it may hold from now on. With fewer than it has, each socket, accept and open fails
+     * with EMFILE.
+     */
+    public void descriptorsAtMost(int most) throws IOException, InterruptedException {
+        if (process.isAlive()) {
+            run("limit the descriptors of", "prlimit", "--pid", Long.toString(pid()),
+                    "--nofile=" + most + ":");
+        }
+    }
+
     private void run(String what, String... command) throws IOException, InterruptedException {
         Process tool = new ProcessBuilder(command).redirectErrorStream(true).start();
         String said = new String(tool.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
--- a/src/main/java/cranedeal/lab/slope/DataPathClient.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathClient.java
@@ -51,11 +51,20 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, ArrayDeque<Connection>> idle = new HashMap<>();
+    private final int mostConnections;
+    private int connections;
     private long lastId;
     private Tally tally;
 
+    /** A client that holds as many connections as its calls need. */
     DataPathClient(EventLoop loop) {
+        this(loop, Integer.MAX_VALUE);
+    }
+
+    /** A client that holds so many connections at most; calls beyond are not sent. */
+    DataPathClient(EventLoop loop, int mostConnections) {
         this.loop = loop;
+        this.mostConnections = mostConnections;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -72,14 +81,16 @@
      * @param calls how many were due; each of them is counted in one of the next four
      * @param refused answered 503: the balancer turned them away
      * @param failed answered otherwise, or their connection broke
-     * @param unanswered without any answer half a second after their time
+     * @param unanswered sent on a connection that was up, without any answer half a second after their time
+     * @param unconnected whose connection had not come up by the end: nobody had room for it in the queue
+     * @param unsent not sent, as the client held all connections that it may
      * @param ended how many of the failed ones saw their connection end without an answer
      * @param refusals the ids of the first refused calls
      * @param latency from a call's writing to its whole answer, of those served, in nanoseconds
      * @param lateness from when a call was due to its writing, in nanoseconds: the generator's own fault
      */
-    record Block(long calls, long served, long refused, long failed, long unanswered, long ended,
-            List<String> refusals, Histogram latency, Histogram lateness) { }
+    record Block(long calls, long served, long refused, long failed, long unanswered, long unconnected,
+            long unsent, long ended, List<String> refusals, Histogram latency, Histogram lateness) { }
 
     private static final class Tally {
 
@@ -91,6 +102,8 @@
         private long refused;
         private long failed;
         private long ended;
+        private long unsent;
+        private long unanswered;
         private final List<String> refusals = new ArrayList<>();
         private final Histogram latency = new Histogram(LONGEST_NANOS, 3);
         private final Histogram lateness = new Histogram(LONGEST_NANOS, 3);
@@ -101,7 +114,8 @@
         }
 
         Block block() {
-            return new Block(calls, served, refused, failed, calls - served - refused - failed, ended,
+            return new Block(calls, served, refused, failed, unanswered,
+                    calls - served - refused - failed - unanswered - unsent, unsent, ended,
                     List.copyOf(refusals), latency.copy(), lateness.copy());
         }
     }
@@ -183,7 +197,14 @@
     }
 
     private void connect(Tally block, InetSocketAddress target, long dueAt) {
+        if (connections >= mostConnections) {
+            block.unsent++;
+            block.open.countDown();
+            return;
+        }
+        connections++;
         bootstrap.connect(target).addListener((ChannelFuture up) -> {
+            up.channel().closeFuture().addListener(closed -> connections--);
             if (up.isSuccess()) {
                 Connection fresh = up.channel().pipeline().get(Connection.class);
                 fresh.target = target;
@@ -225,6 +246,7 @@
         private void giveUp(Tally to, String waited) {
             if (block == to && waited.equals(id)) {
                 block = null;
+                to.unanswered++;
                 to.open.countDown();
                 channel.close();
             }
--- a/src/main/java/cranedeal/lab/slope/DataPathStage.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathStage.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -68,9 +69,10 @@
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2,
             new DefaultThreadFactory("data-path", true), NioIoHandler.newFactory());
     private final DiscoveryServer discovery;
-    private final DataPathClient client = new DataPathClient(loops.next());
+    private final DataPathClient client;
     private final List<InetSocketAddress> upstreams;
     private final InetSocketAddress listen = free();
+    private final InetSocketAddress admin = free();
     private final Child balancer;
 
     /**
@@ -80,17 +82,19 @@
      * @param workUs how long each upstream takes for an answer, in microseconds
      */
     DataPathStage(List<String> program, int count, long workUs) throws IOException, InterruptedException {
-        this(program, count, workUs, DataPathConfig.SOCKETS, Processor.ANY);
+        this(program, count, workUs, DataPathConfig.SOCKETS, Integer.MAX_VALUE, Processor.ANY);
     }
 
     /**
      * The same with a balancer that is short of something.
      *
      * @param sockets the descriptors that it may hold
+     * @param mostConnections that the client may hold
      * @param processor what it runs on
      */
-    DataPathStage(List<String> program, int count, long workUs, int sockets, Processor processor)
-            throws IOException, InterruptedException {
+    DataPathStage(List<String> program, int count, long workUs, int sockets, int mostConnections,
+            Processor processor) throws IOException, InterruptedException {
+        client = new DataPathClient(loops.next(), mostConnections);
         folder = Files.createTempDirectory("data-path");
         warden = new Warden();
         Path ports = folder.resolve("ports");
@@ -110,7 +114,7 @@
             discovery.list(DataPathConfig.id(i), i, DataPathConfig.ZONE, DataPathConfig.KIND, 0, 1).sync();
         }
         Path config = folder.resolve("config.json");
-        Files.writeString(config, DataPathConfig.of(listen, list, upstreams, sockets).toPrettyString());
+        Files.writeString(config, DataPathConfig.of(listen, list, admin, upstreams, sockets).toPrettyString());
         List<String> command = new ArrayList<>(program);
         command.add(1, OPTION);
         command.add("serve");
@@ -192,6 +196,30 @@
         }
     }
 
+    /** All figures that the balancer tells its operators, a line each. */
+    String figures() {
+        try (Socket socket = new Socket()) {
+            socket.connect(admin, CONNECT_MS);
+            socket.getOutputStream().write("GET /ops/stats HTTP/1.1\r\nHost: ops\r\n\r\n"
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** One of these figures; throws {@link java.util.NoSuchElementException} if there is none of that name. */
+    long figure(String name) {
+        String line = "edge_proxy." + name + "=";
+        return figures().lines().filter(one -> one.startsWith(line))
+                .mapToLong(one -> Long.parseLong(one.substring(line.length()))).findFirst().orElseThrow();
+    }
+
+    /** The balancer, for faults of its process. */
+    Child balancer() {
+        return balancer;
+    }
+
     /** The balancer's resident memory. */
     long rssKb() throws IOException {
         return balancer.usage().orElseThrow(() -> new IOException("the balancer has ended")).rssKb();
--- a/src/main/java/cranedeal/lab/slope/DataPathStudy.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathStudy.java
@@ -136,6 +136,8 @@
         counts.put("refused", block.refused());
         counts.put("failed", block.failed());
         counts.put("unanswered", block.unanswered());
+        counts.put("unconnected", block.unconnected());
+        counts.put("unsent", block.unsent());
         counts.put("ended", block.ended());
         if (!block.refusals().isEmpty()) {
             counts.put("refusals", block.refusals());
--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -39,6 +40,8 @@
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** How soon a watch that nobody asks for is opened again: all that it misses counts as told. */
     private static final int REOPEN_MS = 100;
+    /** How much longer an answer is waited for that is coming in, as often as its whole patience allows. */
+    private static final int EXTENSION_MS = 250;
 
     /** What the list is told to. */
     interface Listener {
@@ -188,7 +191,9 @@
 
         private final String query;
         private final Consumer<Roster> end;
-        private final Future<?> expiry;
+        private final long patience;
+        private Future<?> expiry;
+        private int extensions;
         private Channel channel;
         private boolean over;
         /** Whether it was asked and nothing has come in its time. */
@@ -197,6 +202,7 @@
         Call(String query, long patience, Consumer<Roster> end) {
             this.query = query;
             this.end = end;
+            this.patience = patience;
             expiry = loop.schedule(this::expire, patience, TimeUnit.MILLISECONDS);
         }
 
@@ -206,7 +212,12 @@
                 ask(connection);
                 return;
             }
-            bootstrap.connect(address).addListener((io.netty.channel.ChannelFuture up) -> {
+            ChannelFuture connect = Sockets.connect(bootstrap, address);
+            if (connect == null) {
+                loop.execute(this::fail);
+                return;
+            }
+            connect.addListener((ChannelFuture up) -> {
                 channel = up.channel();
                 if (over) {
                     channel.close();
@@ -220,7 +231,9 @@
 
         private void ask(Channel connection) {
             channel = connection;
-            channel.pipeline().get(Answers.class).asked = this;
+            Answers answers = channel.pipeline().get(Answers.class);
+            answers.asked = this;
+            answers.read = false;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/catalog/members" + query, Unpooled.EMPTY_BUFFER);
             request.headers().set("Host", address.getHostString());
@@ -239,7 +252,25 @@
             }
         }
 
+        /**
+         * Its time is over. A loop that is late handles timers before it looks at its sockets, so what has
+         * come is read first; and a long list that is still coming in is worth more than to ask for it again.
+         */
         private void expire() {
+            if (channel != null && !over) {
+                Sockets.readNow(channel);
+            }
+            if (over) {
+                return;
+            }
+            Answers answers = channel == null ? null : channel.pipeline().get(Answers.class);
+            boolean coming = answers != null && answers.asked == this && answers.read;
+            if (coming && extensions * EXTENSION_MS < patience) {
+                answers.read = false;
+                extensions++;
+                expiry = loop.schedule(this::expire, EXTENSION_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
             silent = channel != null && channel.isActive();
             fail();
         }
@@ -282,6 +313,14 @@
     private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
 
         private Call asked;
+        /** Whether anything has come since this was last looked at. */
+        private boolean read;
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            read = true;
+            ctx.fireChannelReadComplete();
+        }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -1,6 +1,7 @@
 package cranedeal.node;
 
 import cranedeal.LoadBalancer.Repeat;
+import cranedeal.LoadBalancer.Result;
 import cranedeal.LoadBalancer.ServiceClass;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -55,6 +56,8 @@
     /** How many attempts were asked for, and how many of them are out; one not sent is null in the list. */
     int sends;
     int running;
+    /** How the latest attempt that is over has ended; cancelled if none has, as a copy is sent beside one. */
+    Result lastResult = Result.CANCELLED;
     Future<?> overdue;
     /** When its body was there; NaN while that is on its way. */
     double arrivedAt;
--- a/src/main/java/cranedeal/node/Figures.java
+++ b/src/main/java/cranedeal/node/Figures.java
@@ -1,9 +1,11 @@
 package cranedeal.node;
 
+import cranedeal.LoadBalancer;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Collection;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -18,6 +20,18 @@
     private static final int DELETE = 0x7f;
     private static final String PREFIX = "edge_proxy.";
 
+    /** Why a request was refused before the decision module had it. */
+    enum Refusal { PROCESSOR, ENDING }
+
+    /** Why a connection was closed, or none was taken. */
+    enum Closing {
+        CALLER_FOR_ROOM, SILENT_CALLER_FOR_ROOM, CALLER_NOT_TAKEN, ACCEPT_FAILED, UPSTREAM_FOR_ROOM,
+        UPSTREAM_IDLE
+    }
+
+    /** Why a connection to an upstream did not come up. */
+    enum ConnectFailure { NO_DESCRIPTOR, NO_SOCKET, NOT_UP }
+
     /** How the requests of one class ended. */
     private static final class Answers {
         final AtomicLong success = new AtomicLong();
@@ -33,6 +47,14 @@
     private volatile int targetsDisabled;
     /** Whether what operators ordered before is known; null where nothing is kept of that. */
     private volatile Boolean ordersKnown;
+    private final Map<Enum<?>, AtomicLong> causes = new ConcurrentHashMap<>();
+    private final AtomicLong connections = new AtomicLong();
+    /** Attempts after the first of their requests. */
+    private final AtomicLong retries = new AtomicLong();
+    private volatile LoopDelay loopDelay = new LoopDelay(0, 0, 0, 0);
+    private volatile Descriptors descriptors = new Descriptors(0, 0, 0, 0);
+    private volatile ListInForce list = new ListInForce(0, 0);
+    private volatile LoadBalancer.Work work = LoadBalancer.Work.NONE;
     private final AtomicLong reloadSuccess = new AtomicLong();
     private final AtomicLong reloadFailure = new AtomicLong();
 
@@ -68,6 +90,108 @@
         dispatches.incrementAndGet();
     }
 
+    /**
+     * How late the loop is.
+     *
+     * @param busyMs the longest between two looks at the sockets in the last quarter of a second
+     * @param waitMs the longest that a request waited for its turn in that time
+     * @param waiting requests that wait for their turn
+     * @param longestMs the greatest of all {@code busyMs} since the start
+     */
+    private record LoopDelay(double busyMs, double waitMs, int waiting, double longestMs) { }
+
+    /** Descriptors by use: callers, those of them that rest, all connections, and how many there may be. */
+    private record Descriptors(int callers, int resting, int open, int limit) { }
+
+    /** The version of the list in force, and how long it took from its last byte to that, in ms. */
+    private record ListInForce(long version, double tookMs) { }
+
+    /** How late the loop was since this was last told. */
+    void loop(double busyMs, double waitMs, int waiting) {
+        loopDelay = new LoopDelay(busyMs, waitMs, waiting, Math.max(loopDelay.longestMs(), busyMs));
+    }
+
+    /** Who holds descriptors now. */
+    void descriptors(int callers, int resting, int open, int limit) {
+        descriptors = new Descriptors(callers, resting, open, limit);
+    }
+
+    /** A list is in force. */
+    void list(long version, double tookMs) {
+        list = new ListInForce(version, tookMs);
+    }
+
+    /** What the decisions have cost so far. */
+    void work(LoadBalancer.Work cost) {
+        work = cost;
+    }
+
+    /** A request was refused before the module had it. */
+    void refused(Refusal why) {
+        count(why);
+    }
+
+    /** A connection was closed, or none was taken. */
+    void closed(Closing why) {
+        count(why);
+    }
+
+    /** A connection to an upstream did not come up. */
+    void failed(ConnectFailure why) {
+        count(why);
+    }
+
+    /** An attempt after the first was asked for, as the one before ended so. */
+    void retried(LoadBalancer.Result after) {
+        retries.incrementAndGet();
+        count(after);
+    }
+
+    /** A connection to an upstream was begun. */
+    void connected() {
+        connections.incrementAndGet();
+    }
+
+    private void count(Enum<?> cause) {
+        causes.computeIfAbsent(cause, absent -> new AtomicLong()).incrementAndGet();
+    }
+
+    private long counted(Enum<?> cause) {
+        AtomicLong count = causes.get(cause);
+        return count == null ? 0 : count.get();
+    }
+
+    private void lines(StringBuilder text, String prefix, Enum<?>... values) {
+        for (Enum<?> cause : values) {
+            line(text, prefix + cause.name().toLowerCase(Locale.ROOT), counted(cause));
+        }
+    }
+
+    /** What tells of a balancer in trouble: how late it is, and why it refused, closed and tried again. */
+    private void operation(StringBuilder text) {
+        LoopDelay delay = loopDelay;
+        line(text, "loop_busy_ms", Math.round(delay.busyMs()));
+        line(text, "loop_busy_longest_ms", Math.round(delay.longestMs()));
+        line(text, "arrivals_wait_ms", Math.round(delay.waitMs()));
+        line(text, "arrivals_waiting", delay.waiting());
+        Descriptors held = descriptors;
+        line(text, "connections_callers", held.callers());
+        line(text, "connections_callers_resting", held.resting());
+        line(text, "connections_all", held.open());
+        line(text, "connections_limit", held.limit());
+        line(text, "connects", connections.get());
+        line(text, "list_version", list.version());
+        line(text, "list_in_force_ms", Math.round(list.tookMs()));
+        line(text, "draws", work.draws());
+        line(text, "draws_examined", work.examined());
+        line(text, "held", work.held());
+        line(text, "retries", retries.get());
+        lines(text, "retried_after_", LoadBalancer.Result.values());
+        lines(text, "refused_for_", Refusal.values());
+        lines(text, "closed_", Closing.values());
+        lines(text, "connect_failed_", ConnectFailure.values());
+    }
+
     /** How many upstreams the list has, and how many of them the module avoids now. */
     void upstreams(int listed, int avoided) {
         targets = listed;
@@ -99,6 +223,7 @@
         line(text, "targets_disabled", targetsDisabled);
         line(text, "reload_success", reloadSuccess.get());
         line(text, "reload_failure", reloadFailure.get());
+        operation(text);
         if (ordersKnown != null) {
             line(text, "orders_unknown", ordersKnown ? 0 : 1);
         }
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -8,9 +8,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
@@ -54,7 +56,15 @@
 /** Takes callers' requests, checks that they are well formed, and writes each one's answer. */
 final class Frontend {
 
-    private static final int BACKLOG = 1_024;
+    private static final int BACKLOG = 4_096;
+    /** How soon it accepts again after that has failed, in ms. */
+    private static final long ACCEPT_AGAIN_MS = 10;
+    /**
+     * Callers that are taken in at one look at the sockets. Netty's 16 are fewer than come while a loop is
+     * late, and whoever has no place in the queue tries again only after a second.
+     */
+    private static final int ACCEPTED_AT_ONCE = 1_024;
+    private static final String HEALTH_PATH = "/_health";
     /** Requests that a connection may send ahead of their turn. */
     private static final int MAX_AHEAD = 16;
     /** The longest wait that a caller can ask for, in seconds. */
@@ -73,6 +83,8 @@
     private static final double GAP_MS = 1_000;
     /** How long a connection that has been served may stand idle. */
     private static final double IDLE_MS = 10_000;
+    /** From when on a connection that has been served may be closed for another. */
+    private static final double MAY_CLOSE_MS = 2_000;
     /** How long a connection is left alone in a drain for its first request to come. */
     private static final double FRESH_MS = 250;
     /** Two of these after its patience is over, a connection is surely closed. */
@@ -83,8 +95,14 @@
     private static final long LINGER_MS = 500;
     /** How long it may take to read that answer. */
     private static final long UNREAD_MS = 5_000;
+    /** Resting connections that are looked at for one that may go. */
+    private static final int MOST_LOOKS = 16;
     /** How many connections that had to make room may be on their way out and still hold a descriptor. */
     private static final int MOST_LEAVING = 8;
+    /** When a caller that is refused for want of processor time ought to come again, in ms. */
+    private static final double RETURN_MS = 500;
+    /** The delay in ms from which on the loop is late: what it reads is counted from before it was read. */
+    static final double LATE_MS = 50;
     /** What the kernel may hold of a large answer. */
     private static final int SEND_BUFFER = 128 * 1_024;
 
@@ -93,9 +111,16 @@
     private final Sockets sockets;
     private final ByteBufAllocator memory;
     private final Node node;
+    private final Figures figures;
+    private final LoopMonitor monitor;
+    /** The connections whose requests have been read and wait to be handled. */
+    private final Arrivals<Connection> arrivals;
     private final Map<String, Integer> classes = new HashMap<>();
-    /** Every caller's connection, in the order in which they came or last became idle. */
     private final Set<Connection> connections = new LinkedHashSet<>();
+    /** Those of them that have been served and rest, the longest first. */
+    private final Set<Connection> resting = new LinkedHashSet<>();
+    /** Those of them that no whole request has come on, the oldest first. */
+    private final Set<Connection> unserved = new LinkedHashSet<>();
     /** Those that had to make room and are not closed yet, the earliest first. */
     private final ArrayDeque<Connection> leaving = new ArrayDeque<>();
     private Channel listening;
@@ -111,13 +136,29 @@
     private int silent;
     private double toldAt = Double.NEGATIVE_INFINITY;
 
-    Frontend(EventLoop loop, NodeConfig config, Sockets sockets, ByteBufAllocator memory, Node node) {
+    Frontend(EventLoop loop, NodeConfig config, Sockets sockets, ByteBufAllocator memory, Node node,
+            Figures figures, LoopMonitor monitor, Clock clock) {
         this.loop = loop;
         this.config = config;
         this.sockets = sockets;
         this.memory = memory;
         this.node = node;
-        sockets.evictCallersWith(this::evictIdle);
+        this.figures = figures;
+        this.monitor = monitor;
+        arrivals = new Arrivals<>(clock::now, Connection::handleWaiting);
+        sockets.evictCallersWith(new Sockets.IdlePool() {
+            @Override
+            public double idleSince() {
+                double since = resting.isEmpty() ? Double.NaN : resting.iterator().next().since;
+                // NaN compares false.
+                return node.now() >= since + MAY_CLOSE_MS ? since : Double.NaN;
+            }
+
+            @Override
+            public boolean evict() {
+                return evictIdle();
+            }
+        });
         retune(config);
     }
 
@@ -136,6 +177,8 @@
         ServerBootstrap server = new ServerBootstrap().group(loop)
                 .channelFactory(() -> new NioServerSocketChannel(socket))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
                 .childOption(ChannelOption.ALLOCATOR, memory).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -146,6 +189,7 @@
                                 new Connection(channel, decoder, whole));
                     }
                 });
+        server.handler(new AcceptGate());
         if (shared) {
             server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
@@ -158,6 +202,40 @@
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Stands before whatever is accepted. Without room for it a caller is closed unread, which costs next to
+     * nothing: to close others that may be used again would have these come anew, and to leave it in the
+     * queue would have it wait without an answer.
+     */
+    private final class AcceptGate extends ChannelInboundHandlerAdapter {
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object accepted) {
+            if (sockets.roomForCaller() || evictSilent()) {
+                ctx.fireChannelRead(accepted);
+            } else {
+                figures.closed(Figures.Closing.CALLER_NOT_TAKEN);
+                ((Channel) accepted).unsafe().closeForcibly();
+            }
+        }
+
+        /**
+         * An accept has failed: that passes, whether the caller has left, or a descriptor or memory is short.
+         * By default Netty accepts nobody for a second then; here somebody makes room, and it goes on soon.
+         */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            figures.closed(Figures.Closing.ACCEPT_FAILED);
+            sockets.evictIdle();
+            ctx.channel().config().setAutoRead(false);
+            loop.schedule(() -> {
+                if (!deaf) {
+                    ctx.channel().config().setAutoRead(true);
+                }
+            }, ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private static ServerSocketChannel open() throws ConfigException {
         try {
             return ServerSocketChannel.open();
@@ -185,6 +263,9 @@
                 }
             }
         }
+        figures.loop(monitor.takeLongestBusy(), arrivals.takeLongestWait(), arrivals.size());
+        figures.work(node.work());
+        figures.descriptors(connections.size(), resting.size(), sockets.open(), sockets.limit());
         if (malformed + silent > 0 && now >= toldAt + TELL_EVERY_MS) {
             Node.LOG.info("turned down " + malformed + " bad requests and " + silent + " silent callers");
             toldAt = now;
@@ -257,31 +338,69 @@
         return connections.isEmpty() && deaf && !socket.isOpen();
     }
 
-    /** At the end of a drain: nothing that comes from now on is taken. */
+    /** Handles a slice of what waits, and goes on with the rest once the sockets have had their turn. */
+    private void handleSlice() {
+        if (arrivals.handleSlice()) {
+            // What is executed rather than scheduled would run before the sockets are looked at.
+            loop.schedule(this::handleSlice, 1, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** At the end of a drain: nothing that comes from now on is taken, and who waits is refused. */
     void endAll() {
+        List.copyOf(connections).forEach(Connection::refuseWaiting);
         List.copyOf(connections).stream().filter(Connection::isIdle)
                 .forEach(connection -> connection.shutDown());
     }
 
     /** Closes the caller's connection that has been idle for longest, as it may between requests. */
     private boolean evictIdle() {
-        for (Connection connection : new ArrayList<>(connections)) {
+        for (int looks = Math.min(MOST_LOOKS, resting.size()); looks > 0 && !resting.isEmpty(); looks--) {
+            Connection connection = resting.iterator().next();
+            if (node.now() < connection.since + MAY_CLOSE_MS) {
+                return false;
+            }
+            // A request may have come that nobody has read yet.
+            connection.readNow();
             if (connection.isEvictable()) {
-                // A request may have come that nobody has read yet.
-                connection.readNow();
-                if (connection.isEvictable()) {
-                    connection.shutDown();
-                    leaving.addLast(connection);
-                    if (leaving.size() > MOST_LEAVING) {
-                        leaving.pollFirst().channel.close();
-                    }
-                    return true;
+                figures.closed(Figures.Closing.CALLER_FOR_ROOM);
+                connection.shutDown();
+                leaving.addLast(connection);
+                if (leaving.size() > MOST_LEAVING) {
+                    leaving.pollFirst().channel.close();
                 }
+                return true;
             }
+            // It is about to be served, or to end.
+            resting.remove(connection);
         }
         return false;
     }
 
+    /** Closes the oldest connection on which nothing has come, once it has had some time. */
+    private boolean evictSilent() {
+        double latest = node.now() - FRESH_MS;
+        for (int looks = MOST_LOOKS; looks > 0 && !unserved.isEmpty(); looks--) {
+            Connection connection = unserved.iterator().next();
+            if (connection.since > latest) {
+                return false;
+            }
+            connection.readNow();
+            // One that has begun to send has its time, like any.
+            unserved.remove(connection);
+            if (connection.isIdle() && !connection.served && !connection.partial()) {
+                figures.closed(Figures.Closing.SILENT_CALLER_FOR_ROOM);
+                silent++;
+                connection.channel.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A request, and when it came, in ms of the clock. */
+    private record Received(FullHttpRequest request, double at) { }
+
     /** A request that its caller has got wrong, and how to say so. */
     private static final class BadRequestException extends Exception {
 
@@ -297,10 +416,14 @@
             implements Exchange.Caller {
 
         private final Channel channel;
-        private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
+        private final ArrayDeque<Received> ahead = new ArrayDeque<>();
         /** The request at work; the exchange is known once the node has it. */
         private FullHttpRequest current;
+        /** When it came, in ms of the clock. */
+        private double currentAt;
         private Exchange exchange;
+        /** Whether the request at work waits among the {@link #arrivals}. */
+        private boolean waits;
         private final RequestDecoder decoder;
         private final RequestAggregator whole;
         /** Since when it has stood without a request; for a request that has begun to come, when that was. */
@@ -388,12 +511,9 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            sockets.count(channel);
+            sockets.countCaller(channel);
             connections.add(this);
-            if (!sockets.roomForCaller()) {
-                // Failing to accept for want of a descriptor would stop Netty from trying for a second.
-                listening.config().setAutoRead(false);
-            }
+            unserved.add(this);
             ctx.fireChannelActive();
         }
 
@@ -410,31 +530,78 @@
             ended = !request.decoderResult().isSuccess() || !HttpUtil.isKeepAlive(request)
                     || !isGet(request) && !isPost(request)
                     || ahead.size() == MAX_AHEAD - 1 || !channel.isWritable();
+            Received received = new Received(request.retain(), arrivedAt());
             if (current == null) {
-                take(request.retain());
+                take(received);
             } else {
-                ahead.addLast(request.retain());
+                ahead.addLast(received);
             }
         }
 
+        /** When what is read now has come: where the loop is late, that may be long ago. */
+        private double arrivedAt() {
+            double delay = monitor.delay();
+            return node.now() - (delay > LATE_MS ? delay : 0);
+        }
+
         /**
          * Handles a request once it is known that its caller has not left behind it. Where this process was
          * late to read it, the end of its connection may have come with it, and would be seen only after it
          * was sent on; so what the kernel holds is read first, and not from within a read.
          */
-        private void take(FullHttpRequest request) {
-            current = request;
+        private void take(Received received) {
+            current = received.request();
+            currentAt = received.at();
             exchange = null;
-            if (request instanceof LargeRequest) {
+            resting.remove(this);
+            unserved.remove(this);
+            if (current instanceof LargeRequest) {
                 // Its body goes on to come, and has to have its owner by then.
-                handle(request);
-                return;
+                handle(current);
+            } else if (arrivals.isOverloaded() && isRefusable()) {
+                refuseOverloaded(Figures.Refusal.PROCESSOR);
+            } else {
+                waits = true;
+                if (arrivals.add(this)) {
+                    loop.execute(Frontend.this::handleSlice);
+                }
             }
-            loop.execute(() -> {
-                if (current == request && isThere()) {
-                    handle(request);
+        }
+
+        /** Its turn has come. */
+        void handleWaiting() {
+            if (waits) {
+                waits = false;
+                if (isThere()) {
+                    handle(current);
                 }
-            });
+            }
+        }
+
+        /** At the end of the process: its turn won't come any more. */
+        void refuseWaiting() {
+            if (waits) {
+                waits = false;
+                refuseOverloaded(Figures.Refusal.ENDING);
+            }
+        }
+
+        /** Whether a refusal is a proper answer to the request at work. */
+        private boolean isRefusable() {
+            return current.decoderResult().isSuccess() && !current.uri().equals(HEALTH_PATH);
+        }
+
+        /** Refuses the request at work before anything is done for it. */
+        private void refuseOverloaded(Figures.Refusal why) {
+            String name = current.headers().get("X-Lane", firstPart(current.uri()));
+            figures.refused(why);
+            if (classes.containsKey(name)) {
+                figures.answered(name, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+            double longest = config.settings().limits().maxRetryAfter();
+            boolean advised = config.settings().limits().retryAfter();
+            write(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER,
+                    advised ? Math.min(longest, RETURN_MS) : 0);
         }
 
         @Override
@@ -452,6 +619,7 @@
             dropAhead();
             Exchange left = exchange;
             exchange = null;
+            waits = false;
             if (current != null) {
                 drop(current);
                 current = null;
@@ -466,13 +634,12 @@
                 reject(status(request.decoderResult().cause()), "malformed HTTP");
                 return;
             }
-            if (request.uri().equals("/_health")) {
+            if (request.uri().equals(HEALTH_PATH)) {
                 write(health, Unpooled.EMPTY_BUFFER, 0);
                 return;
             }
             try {
-                double now = node.now();
-                Template template = read(request, now);
+                Template template = read(request, currentAt);
                 Exchange begun = node.request(template::withId, request.retain(), this);
                 // The answer may have come already, and with it the next request.
                 if (begun.isOpen()) {
@@ -549,7 +716,7 @@
         }
 
         private void dropAhead() {
-            ahead.forEach(Frontend::drop);
+            ahead.forEach(received -> drop(received.request()));
             ahead.clear();
         }
 
@@ -601,15 +768,14 @@
             exchange = null;
             served = true;
             since = node.now();
-            // The longest idle come first.
-            connections.remove(this);
-            connections.add(this);
+            unserved.remove(this);
+            resting.add(this);
             channel.writeAndFlush(last);
             if (closing) {
                 shutDown(unread, early ? unread : LINGER_MS);
                 return;
             }
-            FullHttpRequest next = ahead.pollFirst();
+            Received next = ahead.pollFirst();
             if (next != null) {
                 take(next);
             }
@@ -631,6 +797,8 @@
          * @param linger ms for which the caller may go on sending after that
          */
         private void shutDown(long unread, long linger) {
+            resting.remove(this);
+            unserved.remove(this);
             ended = true;
             closing = true;
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> {
@@ -643,8 +811,9 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
+            resting.remove(this);
+            unserved.remove(this);
             leaving.remove(this);
-            listening.config().setAutoRead(true);
             drained = null;
             leave();
             ctx.fireChannelInactive();
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -65,9 +65,12 @@
     private static final int MOST_KNOWN = 10_000;
     /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
     private static final double LONGEST_DRAIN_MS = 3_000;
-    private static final double DRAIN_SLACK_MS = 550;
-    /** How long after that the last answers may take to go out and their connections to end in order. */
-    private static final double LAST_WORDS_MS = 100;
+    private static final double DRAIN_SLACK_MS = 400;
+    /**
+     * How long after that the last answers may take to go out and their connections to end in order. As much
+     * is left then until SIGKILL may come, since a process may be held up for 150 ms.
+     */
+    private static final double LAST_WORDS_MS = 150;
     /** How long before that callers are sent away: what comes until then still has time to be served. */
     private static final double SEND_AWAY_MS = 1_200;
 
@@ -75,7 +78,8 @@
     private final EventLoop loop;
     /** The processes of an upgrade; null where there are none. */
     private final Succession succession;
-    private final Clock clock = new Clock();
+    private final Clock clock;
+    private final LoopMonitor monitor;
     private final LoadBalancer balancer;
     private final UpstreamClient upstreams;
     private final Discovery discovery;
@@ -102,6 +106,7 @@
     private boolean hadOther;
     /** When it was last told that this could not be seen. */
     private volatile double unknownToldAt = Double.NEGATIVE_INFINITY;
+    private final StartTimes startTimes = new StartTimes();
     /** The upstreams that were ever listed, those of late. */
     private final Map<Long, Boolean> everListed = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
@@ -125,10 +130,12 @@
     /** Something to tell the module, and the request that it is about or null. */
     private record Event(Exchange about, Runnable call) { }
 
-    private Node(NodeConfig config, EventLoop loop, Succession succession, Path folder, OrderBook book,
+    private Node(NodeConfig config, EventLoop loop, Clock clock, LoopMonitor monitor, Succession succession, Path folder, OrderBook book,
             Function<LoadBalancer.Actions, LoadBalancer> module) {
         this.config = config;
         this.loop = loop;
+        this.clock = clock;
+        this.monitor = monitor;
         this.succession = succession;
         this.folder = folder;
         this.book = book;
@@ -141,7 +148,7 @@
         balancer = module.apply(this);
         upstreams = new UpstreamClient(loop, clock, config.settings(), sockets, figures, memory);
         discovery = new Discovery(loop, config, memory, this::told, WatchPlan.WATCH_MS);
-        frontend = new Frontend(loop, config, sockets, memory, this);
+        frontend = new Frontend(loop, config, sockets, memory, this, figures, monitor, clock);
         figures.show(config.classes());
         door = config.admin() == null ? null : new Door(this, loop);
     }
@@ -158,11 +165,15 @@
     /** Starts a balancer with the given module; it serves once this returns. */
     static Node start(NodeConfig config, Path folder, Function<LoadBalancer.Actions, LoadBalancer> module)
             throws ConfigException, InterruptedException {
+        Clock clock = new Clock();
+        LoopMonitor[] monitor = new LoopMonitor[1];
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("node", true), NioIoHandler.newFactory()).next();
+                new DefaultThreadFactory("node", true), LoopMonitor.around(NioIoHandler.newFactory(), clock,
+                        made -> monitor[0] = made)).next();
         Succession succession = folder == null || config.admin() == null ? null : join(folder);
         OrderBook book = config.stateDir() == null ? null : Fleet.ordersIn(config.stateDir(), folder);
-        Node node = new Node(config, loop, succession, folder, book, module);
+        Node node = new Node(config, loop, clock, monitor[0], succession, folder, book,
+                module);
         if (node.door != null) {
             node.door.bind(config.admin());
         }
@@ -278,9 +289,16 @@
         });
     }
 
-    private static List<Upstream> entries(Roster roster) {
+    private List<Upstream> entries(Roster roster) {
+        double now = clock.now();
+        double unix = System.currentTimeMillis();
         List<Upstream> entries = new ArrayList<>(roster.members().size());
-        roster.members().forEach(member -> entries.add(member.upstream()));
+        for (Roster.Member member : roster.members()) {
+            Upstream listed = member.upstream();
+            double startedAt = startTimes.of(listed.id(), listed.startedAt(), now, unix);
+            entries.add(startedAt == listed.startedAt() ? listed : new Upstream(listed.id(), listed.zone(),
+                    listed.kind(), listed.cell(), listed.state(), listed.weight(), startedAt));
+        }
         return entries;
     }
 
@@ -625,12 +643,16 @@
     }
 
     private void told(Change change, Roster roster) {
+        double arrivedAt = clock.now();
         List<Upstream> entries = roster == null ? List.of() : entries(roster);
         if (roster != null) {
             upstreams.update(roster);
             roster.members().forEach(member -> everListed.put(member.upstream().id(), true));
         }
         tell(null, () -> listChanged(change, entries));
+        if (roster != null) {
+            figures.list(roster.version(), clock.now() - arrivedAt);
+        }
     }
 
     private void listChanged(Change change, List<Upstream> entries) {
@@ -730,6 +752,7 @@
     private void finished(Exchange exchange, int number, long upstream, double sentAt, Result result,
             FullHttpResponse response) {
         exchange.running--;
+        exchange.lastResult = result;
         double[] report = response == null || config.settings().reports() != Reports.PIGGYBACK ? null
                 : LoadReport.parse(response.headers().get("X-Pressure"), config.settings().reportFields());
         if (exchange.isStreaming()) {
@@ -746,9 +769,17 @@
         settle(exchange);
     }
 
-    /** How long an upstream has had a request: it can't begin before it has the whole body. */
+    /**
+     * How long an upstream has had a request: it can't begin before it has the whole body. While the loop is
+     * late its answer lies unread, and that is no work of the upstream's.
+     */
     private double elapsed(Exchange exchange, double sentAt) {
-        return Double.isNaN(exchange.arrivedAt) ? 0 : clock.now() - Math.max(sentAt, exchange.arrivedAt);
+        if (Double.isNaN(exchange.arrivedAt)) {
+            return 0;
+        }
+        double delay = monitor.delay();
+        double unread = delay > Frontend.LATE_MS ? delay : 0;
+        return Math.max(0, clock.now() - Math.max(sentAt, exchange.arrivedAt) - unread);
     }
 
     /** An answer too large to be held has begun; null if nobody waits for it. */
@@ -777,6 +808,11 @@
         return clock.now();
     }
 
+    /** What the module's decisions have cost so far. */
+    LoadBalancer.Work work() {
+        return balancer.work();
+    }
+
     // ---- What the module asks for ------------------------------------------------------------------
 
     @Override
@@ -788,6 +824,9 @@
         double now = clock.now();
         int number = exchange.sends++;
         exchange.running++;
+        if (number > 0) {
+            figures.retried(exchange.lastResult);
+        }
         if (!exchange.isAwaited(now) || now >= exchange.deadline
                 || number >= config.settings().limits().maxAttempts()
                 || exchange.upload != null && !exchange.upload.isRepeatable()) {
@@ -885,14 +924,23 @@
     public void setTimer(long token, double at) {
         Exchange about = subject;
         loop.schedule(() -> {
-            // What has come by now must not look overdue only because this loop is late.
-            for (int i = 0; about != null && i < about.attempts.size(); i++) {
-                readNow(about.attempts.get(i));
+            if (clock.now() > at + Frontend.LATE_MS) {
+                // The loop is late: the sockets have their turn first, and with them what ends the wait.
+                loop.schedule(() -> ring(about, token), 1, TimeUnit.NANOSECONDS);
+            } else {
+                ring(about, token);
             }
-            tell(about, () -> balancer.timer(clock.now(), token));
         }, clock.nanosUntil(at), TimeUnit.NANOSECONDS);
     }
 
+    private void ring(Exchange about, long token) {
+        // What has come by now must not look overdue only because this loop is late.
+        for (int i = 0; about != null && i < about.attempts.size(); i++) {
+            readNow(about.attempts.get(i));
+        }
+        tell(about, () -> balancer.timer(clock.now(), token));
+    }
+
     /** Balancers of this deployment have no way to talk to each other. */
     @Override
     public void tell(int peer, byte[] payload) {
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/cranedeal/node/Sockets.java
@@ -1,26 +1,59 @@
 package cranedeal.node;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.nio.AbstractNioChannel;
-import java.util.function.BooleanSupplier;
+import java.net.SocketAddress;
 
 /**
  * Counts the process's connections against the descriptors that it may hold. A caller that waits in the
  * backlog already counts as taken, so calls to upstreams leave room for callers, and an idle connection
- * gives way to whoever needs its descriptor: a caller's first, since a new one costs an upstream work.
+ * gives way to whoever needs its descriptor: the one that has been idle for longest, whosever it is. With
+ * many upstreams each has a connection that is hardly ever used again; callers' are, and who closes one may
+ * cross a request on it.
  */
 final class Sockets {
 
+    /** Connections that stand idle. */
+    interface IdlePool {
+
+        /** None at all. */
+        IdlePool EMPTY = new IdlePool() {
+            @Override
+            public double idleSince() {
+                return Double.NaN;
+            }
+
+            @Override
+            public boolean evict() {
+                return false;
+            }
+        };
+
+        /** Since when the longest idle one has been, in ms of the clock; NaN if there is none. */
+        double idleSince();
+
+        /** Closes the longest idle one that may be closed; false if there is none. */
+        boolean evict();
+    }
+
     /** Descriptors of the virtual machine itself: jars, selectors, logs, the listening socket, discovery. */
     private static final int OF_THE_PROCESS = 64;
     /** The part of the rest that only callers may use. */
     private static final int CALLERS_SHARE = 5;
+    /** The part that callers leave to connections to upstreams: as large as that of callers with requests. */
+    private static final int UPSTREAMS_SHARE = 3;
+    /** The part of the descriptors for connections to upstreams that stand idle, and the least of them. */
+    private static final int IDLE_SHARE = 3;
+    private static final int LEAST_IDLE = 128;
 
     private final int descriptors;
     private int limit;
     private int open;
-    private BooleanSupplier evictCaller = () -> false;
-    private BooleanSupplier evictUpstream = () -> false;
+    private int callersOpen;
+    private IdlePool callers = IdlePool.EMPTY;
+    private IdlePool upstreams = IdlePool.EMPTY;
 
     Sockets(int descriptors) {
         this.descriptors = descriptors;
@@ -32,22 +65,39 @@
         limit = Math.max(CALLERS_SHARE, (shared ? descriptors / 2 : descriptors) - OF_THE_PROCESS);
         boolean evicted = open > limit;
         while (evicted && open > limit) {
-            evicted = evictUpstream.getAsBoolean();
+            evicted = upstreams.evict();
         }
     }
 
-    /** Names what closes one idle connection of a caller and tells whether there was one. */
-    void evictCallersWith(BooleanSupplier evict) {
-        evictCaller = evict;
+    /** Names the idle connections of callers. */
+    void evictCallersWith(IdlePool pool) {
+        callers = pool;
     }
 
     /** The same for connections to upstreams. */
-    void evictUpstreamsWith(BooleanSupplier evict) {
-        evictUpstream = evict;
+    void evictUpstreamsWith(IdlePool pool) {
+        upstreams = pool;
+    }
+
+    /** Closes the connection that has been idle for longest; false if there is none. */
+    boolean evictIdle() {
+        // NaN compares false.
+        boolean upstreamFirst = upstreams.idleSince() <= callers.idleSince();
+        IdlePool first = upstreamFirst ? upstreams : callers;
+        return first.evict() || (upstreamFirst ? callers : upstreams).evict();
+    }
+
+    /** How many connections to upstreams may stand idle: the rest is for those that carry requests. */
+    int mostIdleUpstreams() {
+        return Math.max(LEAST_IDLE, limit / IDLE_SHARE);
     }
 
-    private boolean evictIdle() {
-        return evictCaller.getAsBoolean() || evictUpstream.getAsBoolean();
+    int open() {
+        return open;
+    }
+
+    int limit() {
+        return limit;
     }
 
     /** Whether a connection to an upstream may be opened, after an idle one has gone for it if need be. */
@@ -55,17 +105,39 @@
         return open < limit - limit / CALLERS_SHARE || evictIdle();
     }
 
-    /** Whether a caller may stay: the one just accepted is counted already. */
+    /**
+     * Whether another caller may stay, after an idle connection has gone for it if need be. Callers leave a
+     * part to calls to upstreams: without those nothing can be done for them.
+     */
     boolean roomForCaller() {
-        return open <= limit || evictIdle();
+        return callersOpen < limit - limit / UPSTREAMS_SHARE ? open < limit || evictIdle() : callers.evict();
+    }
+
+    /** Counts a caller's connection until it is closed. */
+    void countCaller(Channel channel) {
+        callersOpen++;
+        channel.closeFuture().addListener(closed -> callersOpen--);
+        count(channel);
     }
 
-    /** Counts a connection until it is closed. */
+    /** Counts a connection to an upstream until it is closed. */
     void count(Channel channel) {
         open++;
         channel.closeFuture().addListener(closed -> open--);
     }
 
+    /**
+     * Opens a connection. Where there is no socket to be had, Netty's future knows no channel and tells its
+     * listeners on a thread of its own; that is told here at once instead.
+     *
+     * @return null if there is no socket to be had
+     */
+    static ChannelFuture connect(Bootstrap bootstrap, SocketAddress address) {
+        ChannelFuture connect = bootstrap.connect(address);
+        boolean noSocket = connect.isDone() && !connect.isSuccess() && !connect.channel().isRegistered();
+        return noSocket ? null : connect;
+    }
+
     /**
      * Handles at once what the kernel holds for a channel: bytes, the peer's end of the stream, callers in
      * the backlog. What it says about a connection is then as fresh as can be.
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -39,6 +39,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -94,6 +95,9 @@
     private final Sockets sockets;
     private final Figures figures;
     private final Bootstrap bootstrap;
+    /** All connections that stand idle, the longest idle first. */
+    private final Set<Connection> idle = new LinkedHashSet<>();
+    private int listed;
     private final Map<Long, Target> targets = new HashMap<>();
     private final Set<Long> banned = new HashSet<>();
     /** The attempts that move a large body or answer. */
@@ -126,7 +130,17 @@
                     }
                 });
         retune(settings);
-        sockets.evictUpstreamsWith(this::evictIdle);
+        sockets.evictUpstreamsWith(new Sockets.IdlePool() {
+            @Override
+            public double idleSince() {
+                return idle.isEmpty() ? Double.NaN : idle.iterator().next().idleSince;
+            }
+
+            @Override
+            public boolean evict() {
+                return evictIdle();
+            }
+        });
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -138,12 +152,12 @@
     }
 
     /** An upstream, its idle connections, the longest idle first, and when it last was told to be ready. */
-    private static final class Target {
+    private final class Target {
         Member member;
         /** When this balancer was told that it wants nothing new; NaN while it does. */
         double drainingSince = Double.NaN;
         /** Whether it is in the list, ready or not. */
-        boolean listed;
+        private boolean listed;
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
 
         /** Whether it is the process that was listed before, where that listened. */
@@ -155,9 +169,15 @@
         void closeIdle() {
             // Closing may call back and take the connection out of the queue.
             for (Connection c = idle.pollFirst(); c != null; c = idle.pollFirst()) {
+                UpstreamClient.this.idle.remove(c);
                 c.channel.close();
             }
         }
+
+        void list(boolean now) {
+            UpstreamClient.this.listed += (now ? 1 : 0) - (listed ? 1 : 0);
+            listed = now;
+        }
     }
 
     /** Takes in a list; what an upstream that left or drains still holds idle is of no more use. */
@@ -176,7 +196,7 @@
             if (before != null && !target.isStill(before)) {
                 target.closeIdle();
             }
-            target.listed = true;
+            target.list(true);
             if (member.upstream().state() == State.READY && !banned.contains(member.upstream().id())) {
                 target.drainingSince = Double.NaN;
             } else {
@@ -199,7 +219,7 @@
 
     private static void strike(Target target, double now) {
         if (target != null) {
-            target.listed = false;
+            target.list(false);
             startDraining(target, now);
         }
     }
@@ -250,10 +270,9 @@
         double still = clock.now() - STALL_MS;
         List.copyOf(moving).stream().filter(attempt -> attempt.isStalled(still)).forEach(Attempt::expire);
         double oldest = clock.now() - longestIdle();
-        for (Target target : targets.values()) {
-            while (!target.idle.isEmpty() && target.idle.peekFirst().idleSince < oldest) {
-                target.idle.pollFirst().channel.close();
-            }
+        while (!idle.isEmpty() && idle.iterator().next().idleSince < oldest) {
+            figures.closed(Figures.Closing.UPSTREAM_IDLE);
+            evictIdle();
         }
         // Whoever left long ago and holds nothing need not be remembered.
         double grace = settings.rules().drainGrace();
@@ -268,7 +287,7 @@
 
     /** How many upstreams the list has. */
     int listed() {
-        return (int) targets.values().stream().filter(target -> target.listed).count();
+        return listed;
     }
 
     /** How many upstreams it knows; for tests. */
@@ -299,17 +318,14 @@
 
     /** Closes the connection that has been idle for longest; false if there is none. */
     private boolean evictIdle() {
-        Target longest = null;
-        for (Target target : targets.values()) {
-            if (!target.idle.isEmpty() && (longest == null
-                    || target.idle.peekFirst().idleSince < longest.idle.peekFirst().idleSince)) {
-                longest = target;
-            }
-        }
-        if (longest != null) {
-            longest.idle.pollFirst().channel.close();
-        }
-        return longest != null;
+        if (idle.isEmpty()) {
+            return false;
+        }
+        Connection longest = idle.iterator().next();
+        idle.remove(longest);
+        longest.home.idle.remove(longest);
+        longest.channel.close();
+        return true;
     }
 
     /** One request on its way to one upstream. */
@@ -359,27 +375,39 @@
                 return;
             }
             meant = to.member;
-            Connection idle = takeIdle(to);
-            if (idle != null) {
-                begin(idle);
+            Connection kept = takeIdle(to);
+            if (kept != null) {
+                begin(kept);
             } else if (!sockets.roomForUpstream()) {
+                figures.failed(Figures.ConnectFailure.NO_DESCRIPTOR);
                 end(Result.CONNECT_FAILED, null);
             } else {
-                ChannelFuture connect = bootstrap.connect(to.member.address());
-                channel = connect.channel();
-                sockets.count(channel);
-                connect.addListener(up -> {
-                    if (over) {
-                        channel.close();
-                    } else if (up.isSuccess()) {
-                        begin(channel.pipeline().get(Connection.class));
-                    } else {
-                        end(Result.CONNECT_FAILED, null);
-                    }
-                });
+                connect(to);
             }
         }
 
+        private void connect(Target to) {
+            ChannelFuture connect = Sockets.connect(bootstrap, to.member.address());
+            if (connect == null) {
+                figures.failed(Figures.ConnectFailure.NO_SOCKET);
+                end(Result.CONNECT_FAILED, null);
+                return;
+            }
+            channel = connect.channel();
+            sockets.count(channel);
+            figures.connected();
+            connect.addListener(up -> {
+                if (over) {
+                    channel.close();
+                } else if (up.isSuccess()) {
+                    begin(channel.pipeline().get(Connection.class));
+                } else {
+                    figures.failed(Figures.ConnectFailure.NOT_UP);
+                    end(Result.CONNECT_FAILED, null);
+                }
+            });
+        }
+
         /** Writes the request, unless it has waited too long for its connection. */
         private void begin(Connection connection) {
             channel = connection.channel;
@@ -588,6 +616,7 @@
     private Connection takeIdle(Target target) {
         double oldest = clock.now() - longestIdle();
         for (Connection c = target.idle.pollLast(); c != null; c = target.idle.pollLast()) {
+            idle.remove(c);
             // The upstream may have closed it, and what is written to it then would count as run.
             Sockets.readNow(c.channel);
             if (c.channel.isActive() && c.idleSince >= oldest) {
@@ -640,6 +669,11 @@
             }
             idleSince = clock.now();
             target.idle.addLast(this);
+            idle.add(this);
+            if (idle.size() > sockets.mostIdleUpstreams()) {
+                figures.closed(Figures.Closing.UPSTREAM_FOR_ROOM);
+                evictIdle();
+            }
         }
 
         @Override
@@ -741,7 +775,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (home != null) {
+            if (idle.remove(this)) {
                 home.idle.remove(this);
             }
             if (carried != null) {
--- /dev/null
+++ b/src/test/java/cranedeal/lab/slope/DescriptorShortageTest.java
@@ -0,0 +1,39 @@
+package cranedeal.lab.slope;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cranedeal.lab.LabCommand.ProgramUnderTest;
+import cranedeal.lab.slope.DataPathStage.Processor;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A real balancer for which socket and accept fail for a while, and then work again. */
+@Timeout(120)
+class DescriptorShortageTest {
+
+    private static final int UPSTREAMS = 300;
+    private static final int SOCKETS = 256;
+    private static final int USUAL = 4_096;
+    private static final double RATE = 150;
+    private static final double SECONDS = 2;
+
+    @Test
+    void socketsThatFailForAWhileAreAnsweredForAndForgotten() throws Exception {
+        try (DataPathStage stage = new DataPathStage(new ProgramUnderTest().command(), UPSTREAMS, 0, SOCKETS,
+                SOCKETS / 3, Processor.ANY)) {
+            List<InetSocketAddress> balancer = List.of(stage.listen());
+            stage.client().play(balancer, RATE, SECONDS, 1);
+            stage.balancer().descriptorsAtMost(stage.descriptors());
+            DataPathClient.Block shortOfSockets = stage.client().play(balancer, RATE, SECONDS, 2);
+            stage.balancer().descriptorsAtMost(USUAL);
+            stage.client().play(balancer, RATE, SECONDS, 3);
+            DataPathClient.Block after = stage.client().play(balancer, RATE, SECONDS, 4);
+            assertEquals(0, shortOfSockets.unanswered(), () -> DataPathStudy.told(shortOfSockets).toString());
+            assertTrue(stage.balancer().isAlive());
+            assertEquals(after.calls(), after.served(), () -> "after it: " + DataPathStudy.told(after));
+        }
+    }
+}
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -92,6 +92,12 @@
             taken.write(Stage.get("taken", "10"));
             Peer upstream = stage.upstreams.get(0).accept();
             upstream.read();
+            // One that is served after it: what is taken is late by itself then, and no sign of overload.
+            idle.write(Stage.get("before", "2"));
+            Peer second = stage.upstreams.get(0).accept();
+            second.read();
+            second.write(Stage.ok("before"));
+            assertEquals("before", idle.read().body());
             process.destroy();
             // A late caller, one on a connection that it had, and the one that was taken before.
             Peer.Message late = null;
@@ -105,7 +111,6 @@
                 }
             }
             idle.write(Stage.get("reused", "2"));
-            Peer second = stage.upstreams.get(0).accept();
             second.read();
             second.write(Stage.ok("reused"));
             Peer.Message reused = idle.read();
