Measure what a balancer needs at 200 to 3,200 upstreams: lab slope upstreams

Ports of the balancer are chosen after those of thousands of upstreams, which had taken one. Restarts and cuts are not in it.

--- a/src/main/java/cranedeal/lab/slope/DataPathStage.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathStage.java
@@ -71,8 +71,8 @@
     private final DiscoveryServer discovery;
     private final DataPathClient client;
     private final List<InetSocketAddress> upstreams;
-    private final InetSocketAddress listen = free();
-    private final InetSocketAddress admin = free();
+    private final InetSocketAddress listen;
+    private final InetSocketAddress admin;
     private final Child balancer;
 
     /**
@@ -105,6 +105,9 @@
         await(all, () -> Files.exists(ports));
         upstreams = Files.readAllLines(ports).stream()
                 .map(port -> new InetSocketAddress(ADDRESS, Integer.parseInt(port))).toList();
+        // Only now: thousands of upstreams would take a port that was free before.
+        listen = free();
+        admin = free();
         InetSocketAddress list = free();
         discovery = new DiscoveryServer(loops.next(), new LabClock(), 0,
                 Map.of(InetAddress.getByName(ADDRESS), 0), Map.of(0, "n0"), (to, of) -> upstreams.get(of),
@@ -220,6 +223,13 @@
         return balancer;
     }
 
+    /** The most memory that the balancer has had resident so far. */
+    long peakKb() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(balancer.pid()), "status")).stream()
+                .filter(line -> line.startsWith("VmHWM:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", ""))).findFirst().orElseThrow();
+    }
+
     /** The balancer's resident memory. */
     long rssKb() throws IOException {
         return balancer.usage().orElseThrow(() -> new IOException("the balancer has ended")).rssKb();
--- /dev/null
+++ b/src/main/java/cranedeal/lab/slope/UpstreamsStudy.java
@@ -0,0 +1,154 @@
+package cranedeal.lab.slope;
+
+import cranedeal.fleet.command.CommandException;
+import cranedeal.lab.LabCommand.ProgramUnderTest;
+import cranedeal.lab.slope.DataPathStage.Processor;
+import cranedeal.lab.slope.SlopeReport.Basis;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/**
+ * What a balancer needs by the number of upstreams, with the same traffic: while calls go on, half of the
+ * upstreams are drained in waves and come back, each started anew and cold.
+ */
+@Command(name = "upstreams", mixinStandardHelpOptions = true,
+        description = "What a balancer needs by the number of upstreams, while half of them are replaced.")
+final class UpstreamsStudy extends Study {
+
+    private static final double US_PER_S = 1e6;
+    private static final double WARM_UP_S = 3;
+    private static final long WAVE_MS = 200;
+    /** Waves after which those of a wave are back. */
+    private static final int AWAY = 5;
+    private static final int WAVES = 40;
+    private static final long SAMPLE_MS = 50;
+
+    @Option(names = "--lists", split = ",", defaultValue = "200,400,1600,3200", paramLabel = "N",
+            description = "How many upstreams there are; default ${DEFAULT-VALUE}.")
+    private List<Integer> lists;
+    @Option(names = "--rate", defaultValue = "60", paramLabel = "N",
+            description = "Calls a second; default ${DEFAULT-VALUE}.")
+    private double rate;
+    @Option(names = "--seconds", defaultValue = "20",
+            description = "How long calls go on; default ${DEFAULT-VALUE}.")
+    private double seconds;
+    @Option(names = "--sockets", defaultValue = "1024", paramLabel = "N",
+            description = "Descriptors that the balancer may hold; default ${DEFAULT-VALUE}.")
+    private int sockets;
+    @Option(names = "--repeat", defaultValue = "1", paramLabel = "N",
+            description = "Balancers of each size, one after the other; default ${DEFAULT-VALUE}.")
+    private int repeat;
+    @Mixin
+    private ProgramUnderTest program;
+
+    /** What one balancer has needed. */
+    private record Seen(DataPathClient.Block block, double cpuS, double peakMb, double descriptors,
+            double connects, double listKb) { }
+
+    @Override
+    protected SlopeReport measure() throws CommandException, IOException, InterruptedException {
+        if (lists.size() < Line.LEAST_SIZES || lists.stream().anyMatch(list -> list < 2 * WAVES)
+                || !(rate > 0) || !(seconds > 0) || sockets < 1 || repeat < 1) {
+            throw wrong("four lists of " + 2 * WAVES + " or more, and numbers above 0, are wanted");
+        }
+        Map<Integer, List<Seen>> seen = new TreeMap<>();
+        for (int i = 1; i <= repeat; i++) {
+            for (int list : lists) {
+                seen.computeIfAbsent(list, size -> new ArrayList<>()).add(play(list, i));
+            }
+        }
+        return report(seen);
+    }
+
+    private Seen play(int list, long seed) throws CommandException, IOException, InterruptedException {
+        ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
+        try (DataPathStage stage = new DataPathStage(program.command(), list, 0, sockets,
+                Integer.MAX_VALUE, Processor.ANY)) {
+            List<InetSocketAddress> balancer = List.of(stage.listen());
+            stage.client().play(balancer, rate, WARM_UP_S, 0);
+            Waves waves = new Waves(stage, list);
+            clock.scheduleAtFixedRate(waves::next, WAVE_MS, WAVE_MS, TimeUnit.MILLISECONDS);
+            int[] most = new int[1];
+            clock.scheduleAtFixedRate(() -> most[0] = Math.max(most[0], descriptors(stage)), SAMPLE_MS,
+                    SAMPLE_MS, TimeUnit.MILLISECONDS);
+            DataPathClient.Block block = stage.client().play(balancer, rate, seconds, seed);
+            clock.shutdownNow();
+            clock.awaitTermination(1, TimeUnit.MINUTES);
+            return new Seen(block, stage.cpuUs() / US_PER_S, stage.peakKb() / 1024.0, most[0],
+                    stage.figure("connects"), stage.discovery().listBytes() / 1024.0);
+        } finally {
+            clock.shutdownNow();
+        }
+    }
+
+    private static int descriptors(DataPathStage stage) {
+        try {
+            return stage.descriptors();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** Half of the upstreams, in waves: each is drained, and is back some waves later, started anew. */
+    private static final class Waves {
+
+        private final DataPathStage stage;
+        private final int size;
+        private int wave;
+
+        Waves(DataPathStage stage, int list) {
+            this.stage = stage;
+            size = list / 2 / WAVES;
+        }
+
+        void next() {
+            if (wave < WAVES) {
+                each(wave, id -> stage.discovery().state(id, "draining"));
+            }
+            if (wave >= AWAY && wave < WAVES + AWAY) {
+                each(wave - AWAY, id -> stage.discovery().started(id, System.currentTimeMillis()));
+            }
+            wave++;
+        }
+
+        private void each(int of, Consumer<String> change) {
+            for (int i = of * size; i < (of + 1) * size; i++) {
+                change.accept(DataPathConfig.id(i));
+            }
+        }
+    }
+
+    private SlopeReport report(Map<Integer, List<Seen>> seen) {
+        SlopeReport report = report("upstream").with("rate_per_s", rate).with("seconds", seconds)
+                .with("sockets", sockets).with("repeat", repeat);
+        Map<String, Object> counts = new LinkedHashMap<>();
+        seen.forEach((list, all) -> counts.put("calls-at-" + list,
+                all.stream().map(one -> DataPathStudy.told(one.block())).toList()));
+        add(report, "cpu", "s", seen, Seen::cpuS);
+        add(report, "peak", "MB", seen, Seen::peakMb);
+        add(report, "descriptors", "descriptors", seen, Seen::descriptors);
+        add(report, "connects", "connections", seen, Seen::connects);
+        add(report, "lists", "KB", seen, Seen::listKb);
+        add(report, "served", "share", seen, one -> (double) one.block().served() / one.block().calls());
+        return report.with("counts", counts);
+    }
+
+    private static void add(SlopeReport report, String name, String unit, Map<Integer, List<Seen>> seen,
+            ToDoubleFunction<Seen> what) {
+        report.add(name, unit, Basis.MEASURED, seen.entrySet().stream().map(entry -> new Point(
+                entry.getKey(), entry.getValue().stream().map(what::applyAsDouble).toList())).toList());
+    }
+}
--- a/src/main/java/cranedeal/lab/standin/DiscoveryServer.java
+++ b/src/main/java/cranedeal/lab/standin/DiscoveryServer.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
@@ -53,6 +54,7 @@
     private final Consumer<Event> history;
     private final Catalog catalog = new Catalog();
     private final List<Watch> watches = new ArrayList<>();
+    private final AtomicLong listBytes = new AtomicLong();
     private double busyUntil;
     private Channel listening;
 
@@ -123,6 +125,11 @@
         return loop.submit(() -> list(asker, true, catalog.all()));
     }
 
+    /** The bytes of all lists that it has told so far; any thread may ask. */
+    public long listBytes() {
+        return listBytes.get();
+    }
+
     /** Ends. */
     public void close() {
         if (listening != null) {
@@ -153,7 +160,9 @@
         if (!to.channel().isActive()) {
             return;
         }
-        answer(to, HttpResponseStatus.OK, list(asker, full, entries).toString());
+        String text = list(asker, full, entries).toString();
+        listBytes.addAndGet(text.length());
+        answer(to, HttpResponseStatus.OK, text);
         double now = clock.now();
         entries.forEach(entry -> history.accept(new Event.Told(now, names.get(asker), entry.id(),
                 entry.state())));
