--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -40,8 +41,9 @@
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** How soon a watch that nobody asks for is opened again: all that it misses counts as told. */
     private static final int REOPEN_MS = 100;
-    /** How much longer an answer is waited for that is coming in, as often as its whole patience allows. */
+    /** How much longer an answer is waited for that is coming in, and how often. */
     private static final int EXTENSION_MS = 250;
+    private static final int MOST_EXTENSIONS = 4;
 
     /** What the list is told to. */
     interface Listener {
@@ -78,7 +80,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(),
+                        channel.pipeline().addLast(new HttpClientCodec(), new Progress(),
                                 new HttpObjectAggregator(MAX_LIST), new Answers());
                     }
                 });
@@ -191,7 +193,6 @@
 
         private final String query;
         private final Consumer<Roster> end;
-        private final long patience;
         private Future<?> expiry;
         private int extensions;
         private Channel channel;
@@ -202,7 +203,6 @@
         Call(String query, long patience, Consumer<Roster> end) {
             this.query = query;
             this.end = end;
-            this.patience = patience;
             expiry = loop.schedule(this::expire, patience, TimeUnit.MILLISECONDS);
         }
 
@@ -231,9 +231,8 @@
 
         private void ask(Channel connection) {
             channel = connection;
-            Answers answers = channel.pipeline().get(Answers.class);
-            answers.asked = this;
-            answers.read = false;
+            channel.pipeline().get(Answers.class).asked = this;
+            channel.pipeline().get(Progress.class).seen = false;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/catalog/members" + query, Unpooled.EMPTY_BUFFER);
             request.headers().set("Host", address.getHostString());
@@ -263,10 +262,9 @@
             if (over) {
                 return;
             }
-            Answers answers = channel == null ? null : channel.pipeline().get(Answers.class);
-            boolean coming = answers != null && answers.asked == this && answers.read;
-            if (coming && extensions * EXTENSION_MS < patience) {
-                answers.read = false;
+            Progress progress = channel == null ? null : channel.pipeline().get(Progress.class);
+            if (progress != null && progress.seen && extensions < MOST_EXTENSIONS) {
+                progress.seen = false;
                 extensions++;
                 expiry = loop.schedule(this::expire, EXTENSION_MS, TimeUnit.MILLISECONDS);
                 return;
@@ -309,19 +307,22 @@
         }
     }
 
-    /** Hands what comes on a connection to the call that waits for it. */
-    private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** Sees whether a part of an answer has come: a look that finds nothing is no progress. */
+    private static final class Progress extends ChannelInboundHandlerAdapter {
 
-        private Call asked;
-        /** Whether anything has come since this was last looked at. */
-        private boolean read;
+        private boolean seen;
 
         @Override
-        public void channelReadComplete(ChannelHandlerContext ctx) {
-            read = true;
-            ctx.fireChannelReadComplete();
+        public void channelRead(ChannelHandlerContext ctx, Object part) {
+            seen = true;
+            ctx.fireChannelRead(part);
         }
+    }
 
+    /** Hands what comes on a connection to the call that waits for it. */
+    private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        private Call asked;
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
             Call call = asked;
