Keep the queue of arrivals going when a request can't be handled

Need: what goes wrong with one request would have ended the slice, and nobody would have begun another, so that all that wait behind it had no answer. Change: such a request is answered 500, and the reason is logged.

--- a/src/main/java/cranedeal/node/Arrivals.java
+++ b/src/main/java/cranedeal/node/Arrivals.java
@@ -33,7 +33,7 @@
     private double slicedAt;
     private double longestWait;
 
-    /** Nothing waits; {@code clock} tells the time in ms. */
+    /** Nothing waits; {@code clock} tells the time in ms, and {@code handler} never throws. */
     Arrivals(DoubleSupplier clock, Consumer<T> handler) {
         this.clock = clock;
         this.handler = handler;
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -568,13 +568,21 @@
             }
         }
 
-        /** Its turn has come. */
+        /** Its turn has come. Whatever goes wrong with it is its own, as others wait behind it. */
         void handleWaiting() {
-            if (waits) {
-                waits = false;
+            if (!waits) {
+                return;
+            }
+            waits = false;
+            try {
                 if (isThere()) {
                     handle(current);
                 }
+            } catch (RuntimeException e) {
+                Node.LOG.log(Level.SEVERE, "a request could not be handled", e);
+                if (current != null) {
+                    write(HttpResponseStatus.INTERNAL_SERVER_ERROR, Unpooled.EMPTY_BUFFER, 0);
+                }
             }
         }
 
