Refuse on ports that stay taken in all tests that need a refusal

FrontendTest.anAttemptOverTheLimitIsNotSent failed once beside other runs of the suite: 2 outcomes in 10 s in place of 5. Trace: 503 only at the deadline, so the first attempt had been accepted and hung: by another listener on the port that the test had just given back. Tests that closed an upstream for a refusal now keep its port by a socket that doesn't listen.

--- a/src/test/java/cranedeal/node/FiguresTest.java
+++ b/src/test/java/cranedeal/node/FiguresTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.Socket;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -98,8 +97,8 @@
 
     @Test
     void whatIsNotWrittenWholeIsNoDispatch() throws Exception {
-        try (Stage stage = new Stage().start(); Socket held = stage.upstreams.get(0).refuse()) {
-            assertTrue(held.isBound());
+        try (Stage stage = new Stage().start()) {
+            stage.upstreams.get(0).refuse();
             Peer caller = stage.caller();
             caller.write(Stage.spend("1", "x"));
             assertEquals(502, caller.read().status());
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -222,7 +222,7 @@
     @Test
     void anAttemptOverTheLimitIsNotSent() throws Exception {
         try (Stage stage = new Stage().start()) {
-            stage.upstreams.get(0).close();
+            stage.upstreams.get(0).refuse();
             stage.script.sendUntilNotSent(0);
             Peer caller = stage.caller();
             caller.write(Stage.get("1", "10"));
--- a/src/test/java/cranedeal/node/LargeTest.java
+++ b/src/test/java/cranedeal/node/LargeTest.java
@@ -132,7 +132,7 @@
     @Test
     void whatNobodyHasTakenYetGoesToAnotherUpstream() throws Exception {
         try (Stage stage = new Stage(2).start()) {
-            stage.upstreams.get(0).close();
+            stage.upstreams.get(0).refuse();
             stage.script.onOpen = (actions, outcome) ->
                     actions.send(outcome.requestId(), stage.script.upstreams.get(1).id(), 0);
             Peer caller = stage.caller();
--- a/src/test/java/cranedeal/node/Listener.java
+++ b/src/test/java/cranedeal/node/Listener.java
@@ -13,6 +13,8 @@
 final class Listener implements AutoCloseable {
 
     private final ServerSocket server;
+    /** Holds the port once nobody listens there any more. */
+    private final Socket holder = new Socket();
     private final LinkedBlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
 
     Listener() throws IOException {
@@ -53,12 +55,10 @@
     }
 
     /** From now on refuses connections; the port stays taken, so that nobody else can listen there. */
-    Socket refuse() throws IOException {
+    void refuse() throws IOException {
         int port = server.getLocalPort();
         server.close();
-        Socket holder = new Socket();
         holder.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
-        return holder;
     }
 
     /** From now on hands each connection to {@code server} on a thread of its own, until the test is over. */
@@ -86,6 +86,7 @@
 
     @Override
     public void close() throws IOException {
+        holder.close();
         server.close();
     }
 }
--- a/src/test/java/cranedeal/node/RetuneTest.java
+++ b/src/test/java/cranedeal/node/RetuneTest.java
@@ -113,7 +113,7 @@
     @Test
     void aStricterEffectAndFewerAttemptsBindWhatComesNext() throws Exception {
         try (Stage stage = new Stage().start()) {
-            stage.upstreams.get(0).close();
+            stage.upstreams.get(0).refuse();
             stage.script.sendUntilNotSent(0);
             reload(stage, stage.config().replace("\"attemptsCap\":4", "\"attemptsCap\":2")
                     .replace("\"idempotency\":\"idempotent\"", "\"idempotency\":\"at_most_once\""));
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -78,7 +78,7 @@
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
         try (Stage stage = new Stage().start()) {
-            stage.upstreams.get(0).close();
+            stage.upstreams.get(0).refuse();
             Peer caller = stage.caller();
             caller.write(Stage.spend("1", "x"));
             assertEquals(Result.CONNECT_FAILED, stage.script.result());
