Bind the port of a refusing upstream beside its old connections

Need: bound it without reuse, which fails where connections of before are still there (two tests, LargeTest and UpstreamClientTest). Measured: both classes, FiguresTest, RetuneTest and the tests of attempts in FrontendTest pass.

--- a/src/test/java/cranedeal/node/Listener.java
+++ b/src/test/java/cranedeal/node/Listener.java
@@ -58,6 +58,8 @@
     void refuse() throws IOException {
         int port = server.getLocalPort();
         server.close();
+        // Connections of before may still be there.
+        holder.setReuseAddress(true);
         holder.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
     }
 
