Bind a refusing upstream's port once nobody accepts there any more

The thread of Listener that waits in accept keeps the kernel's socket for a moment after close, with its queue open: a connection that comes up in it is accepted by nobody. Change: the thread is joined first.

--- a/src/test/java/cranedeal/node/Listener.java
+++ b/src/test/java/cranedeal/node/Listener.java
@@ -13,6 +13,7 @@
 final class Listener implements AutoCloseable {
 
     private final ServerSocket server;
+    private final Thread accepting;
     /** Holds the port once nobody listens there any more. */
     private final Socket holder = new Socket();
     private final LinkedBlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
@@ -28,7 +29,7 @@
             server.setReceiveBufferSize(receiveBuffer);
         }
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
-        Thread thread = new Thread(() -> {
+        accepting = new Thread(() -> {
             try {
                 while (true) {
                     accepted.add(new Peer(server.accept()));
@@ -37,8 +38,8 @@
                 // The test is over.
             }
         });
-        thread.setDaemon(true);
-        thread.start();
+        accepting.setDaemon(true);
+        accepting.start();
     }
 
     String address() {
@@ -55,9 +56,11 @@
     }
 
     /** From now on refuses connections; the port stays taken, so that nobody else can listen there. */
-    void refuse() throws IOException {
+    void refuse() throws IOException, InterruptedException {
         int port = server.getLocalPort();
         server.close();
+        // The kernel closes it only once nobody waits there any more, and lets connections come up until then.
+        accepting.join();
         // Connections of before may still be there.
         holder.setReuseAddress(true);
         holder.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
