--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -1,7 +1,6 @@
 package cranedeal;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
--- a/src/main/java/cranedeal/Placement.java
+++ b/src/main/java/cranedeal/Placement.java
@@ -17,7 +17,7 @@
     private static final double OWED_EARNS = 3;
     /** What may lack of a whole call: sums of parts are not exact. */
     private static final double ROUNDING = 1e-9;
-    /** Ms ahead for which a server is taken to be as warm as it will be then: it is never looked at too late. */
+    /** Ms ahead for which a server is taken to be as warm as it will be then: no look comes too late. */
     private static final double AHEAD = 1_000;
     /** The least that a server is taken to earn of a part; keeps its due point finite. */
     private static final double LEAST_RATE = 1e-6;
--- a/src/main/java/cranedeal/ReadyServers.java
+++ b/src/main/java/cranedeal/ReadyServers.java
@@ -26,7 +26,7 @@
 
     /** No zone is asked for in particular. */
     static final int ANY_ZONE = -1;
-    /** Ms after which a server is weighed anew that may gain by time: evidence fades by a quarter meanwhile. */
+    /** Ms after which a server is weighed anew that may gain by time: evidence fades by a quarter. */
     private static final double REFRESH = 2_500;
     /** How far a mean may move until all are weighed anew: well within the slack of the bins. */
     private static final double DRIFT = 1.4;
--- a/src/main/java/cranedeal/lab/process/Child.java
+++ b/src/main/java/cranedeal/lab/process/Child.java
@@ -83,8 +83,8 @@
     }
 
     /**
-     * How many descriptors it may hold from now on. With fewer than it has, each socket, accept and open fails
-     * with EMFILE.
+     * How many descriptors it may hold from now on. With fewer than it has, each socket, accept and open
+     * fails with EMFILE.
      */
     public void descriptorsAtMost(int most) throws IOException, InterruptedException {
         if (process.isAlive()) {
--- a/src/main/java/cranedeal/lab/slope/DataPathStage.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathStage.java
@@ -117,11 +117,13 @@
             discovery.list(DataPathConfig.id(i), i, DataPathConfig.ZONE, DataPathConfig.KIND, 0, 1).sync();
         }
         Path config = folder.resolve("config.json");
-        Files.writeString(config, DataPathConfig.of(listen, list, admin, upstreams, sockets).toPrettyString());
+        Files.writeString(config,
+                DataPathConfig.of(listen, list, admin, upstreams, sockets).toPrettyString());
         List<String> command = new ArrayList<>(program);
         command.add(1, OPTION);
         command.add("serve");
-        balancer = warden.start("balancer", processor.bind(command), Map.of("PROXY_CONFIG", config.toString()), log());
+        balancer = warden.start("balancer", processor.bind(command),
+                Map.of("PROXY_CONFIG", config.toString()), log());
         await(balancer, this::listens);
         for (int i = 0; i < processor.competitors(); i++) {
             warden.start("busy" + i, processor.bind(BUSY), Map.of(), folder.resolve("busy.txt"));
@@ -211,7 +213,7 @@
         }
     }
 
-    /** One of these figures; throws {@link java.util.NoSuchElementException} if there is none of that name. */
+    /** One of these figures; throws {@link java.util.NoSuchElementException} if there is none so named. */
     long figure(String name) {
         String line = "edge_proxy." + name + "=";
         return figures().lines().filter(one -> one.startsWith(line))
--- a/src/main/java/cranedeal/node/Arrivals.java
+++ b/src/main/java/cranedeal/node/Arrivals.java
@@ -5,8 +5,9 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * Requests that have been read and are to be handled, in order of arrival. They are handled in slices, between
- * which the loop looks at its sockets and timers again, so that answers, lists and signals go before new work.
+ * Requests that have been read and are to be handled, in order of arrival. They are handled in slices,
+ * between which the loop looks at its sockets and timers again, so that answers, lists and signals go before
+ * new work.
  *
  * <p>Once the oldest has waited for {@link #MOST_WAIT_MS}, more work comes than the processor carries, and
  * whatever is read from then on is to be refused at once: each request that waits makes all behind it late,
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -130,7 +130,8 @@
     /** Something to tell the module, and the request that it is about or null. */
     private record Event(Exchange about, Runnable call) { }
 
-    private Node(NodeConfig config, EventLoop loop, Clock clock, LoopMonitor monitor, Succession succession, Path folder, OrderBook book,
+    private Node(NodeConfig config, EventLoop loop, Clock clock, LoopMonitor monitor,
+            Succession succession, Path folder, OrderBook book,
             Function<LoadBalancer.Actions, LoadBalancer> module) {
         this.config = config;
         this.loop = loop;
--- a/src/test/java/cranedeal/DrawDistributionTest.java
+++ b/src/test/java/cranedeal/DrawDistributionTest.java
@@ -77,7 +77,8 @@
             now += gapMs;
             ready.advance(now);
             ready.placements().forEach(placement -> ready.earn(placement, 0.02, now));
-            Server drawn = ready.draw(classes[i % 2], ReadyServers.ANY_ZONE, true, server -> true, random, now);
+            Server drawn = ready.draw(classes[i % 2], ReadyServers.ANY_ZONE, true, server -> true, random,
+                    now);
             ready.sent(drawn, now);
             outcome(drawn, i % 2);
         }
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -648,7 +648,8 @@
         int[] drawn = new int[49];
         int inEight = 0;
         for (int position = 0; position < siblings; position++) {
-            Bench bench = new Bench(Sites.plain().tier(1).siblings(siblings).position(position).build(), position);
+            Bench bench = new Bench(Sites.plain().tier(1).siblings(siblings).position(position).build(),
+                    position);
             Sites.Server[] list = new Sites.Server[48];
             for (int i = 0; i < list.length; i++) {
                 list[i] = Sites.server(i + 1).kind(i % 2);
--- a/src/test/java/cranedeal/WorkPerEventTest.java
+++ b/src/test/java/cranedeal/WorkPerEventTest.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** The work of an event is bounded, however many upstreams and waiting requests there are: counted, not timed. */
+/** The work of an event is bounded, however many upstreams and held requests there are: counted. */
 class WorkPerEventTest {
 
     private static final int MANY = 3_200;
--- a/src/test/java/cranedeal/lab/slope/OverloadTest.java
+++ b/src/test/java/cranedeal/lab/slope/OverloadTest.java
@@ -26,7 +26,8 @@
     private static final double AFTER_S = 2;
 
     /** What became of the calls under load, of those from two seconds after it, and the figures then. */
-    private record Seen(DataPathClient.Block load, DataPathClient.Block after, String figures, long closed) { }
+    private record Seen(DataPathClient.Block load, DataPathClient.Block after, String figures,
+            long closed) { }
 
     private static Seen play() throws Exception {
         try (DataPathStage stage = new DataPathStage(new ProgramUnderTest().command(), 25, 0, SOCKETS,
--- a/src/test/java/cranedeal/node/Backlog.java
+++ b/src/test/java/cranedeal/node/Backlog.java
@@ -46,7 +46,7 @@
         String port = String.format(Locale.ROOT, ":%04X", server.getLocalPort());
         for (String table : List.of("tcp", "tcp6")) {
             for (String line : Files.readAllLines(Path.of("/proc/self/net", table))) {
-                // Columns: number, local and remote address, state, and two queues, the second of which counts.
+                // Columns: number, local and remote address, state, two queues; the second counts.
                 String[] columns = line.strip().split("\\s+");
                 if (columns[1].endsWith(port) && columns[3].equals(LISTENING)) {
                     return Integer.parseInt(columns[4].split(":")[1], HEX);
--- a/src/test/java/cranedeal/node/GracefulCloseTest.java
+++ b/src/test/java/cranedeal/node/GracefulCloseTest.java
@@ -117,7 +117,7 @@
         }
     }
 
-    /** Callers with requests come until there is a place for the ninth: who has rested for longest has gone. */
+    /** Callers with requests come until there is a place for the ninth: the longest resting has gone. */
     private static void takeItsPlace(Stage stage) throws Exception {
         CountDownLatch taken = new CountDownLatch(9);
         stage.script.onRequest = request -> taken.countDown();
--- a/src/test/java/cranedeal/node/LateRequestTest.java
+++ b/src/test/java/cranedeal/node/LateRequestTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** A process that is told to end while its upstream hangs: what comes later on open connections has its answer. */
+/** A process that is told to end while its upstream hangs: what comes later still has its answer. */
 @Timeout(60)
 class LateRequestTest {
 
--- a/src/test/java/cranedeal/node/Listener.java
+++ b/src/test/java/cranedeal/node/Listener.java
@@ -59,7 +59,7 @@
     void refuse() throws IOException, InterruptedException {
         int port = server.getLocalPort();
         server.close();
-        // The kernel closes it only once nobody waits there any more, and lets connections come up until then.
+        // The kernel closes it only once nobody waits there, and lets connections come up until then.
         accepting.join();
         // Connections of before may still be there.
         holder.setReuseAddress(true);
