Tell in one place from when on the loop is late

The rule stood in Frontend.arrivedAt and Node.elapsed, and its constant in Frontend though it is the monitor's. No change of behaviour. Tests of late loops, callers that leave, the front end and arrivals pass.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -101,8 +101,6 @@
     private static final int MOST_LEAVING = 8;
     /** When a caller that is refused for want of processor time ought to come again, in ms. */
     private static final double RETURN_MS = 500;
-    /** The delay in ms from which on the loop is late: what it reads is counted from before it was read. */
-    static final double LATE_MS = 50;
     /** What the kernel may hold of a large answer. */
     private static final int SEND_BUFFER = 128 * 1_024;
 
@@ -530,7 +528,9 @@
             ended = !request.decoderResult().isSuccess() || !HttpUtil.isKeepAlive(request)
                     || !isGet(request) && !isPost(request)
                     || ahead.size() == MAX_AHEAD - 1 || !channel.isWritable();
-            Received received = new Received(request.retain(), arrivedAt());
+            // Where the loop is late, that may be long ago.
+            double arrivedAt = node.now() - monitor.lateness();
+            Received received = new Received(request.retain(), arrivedAt);
             if (current == null) {
                 take(received);
             } else {
@@ -538,12 +538,6 @@
             }
         }
 
-        /** When what is read now has come: where the loop is late, that may be long ago. */
-        private double arrivedAt() {
-            double delay = monitor.delay();
-            return node.now() - (delay > LATE_MS ? delay : 0);
-        }
-
         /**
          * Handles a request once it is known that its caller has not left behind it. Where this process was
          * late to read it, the end of its connection may have come with it, and would be seen only after it
--- a/src/main/java/cranedeal/node/LoopMonitor.java
+++ b/src/main/java/cranedeal/node/LoopMonitor.java
@@ -14,6 +14,8 @@
  */
 final class LoopMonitor implements IoHandler {
 
+    /** The delay in ms from which on the loop is late. */
+    static final double LATE_MS = 50;
     /** A look that found nothing for so long has waited for it to come. */
     private static final double WAITED_MS = 1;
 
@@ -45,8 +47,14 @@
         };
     }
 
+    /** How long something that is read now has lain unread, in ms; 0 while the loop is not late. */
+    double lateness() {
+        double delay = delay();
+        return delay > LATE_MS ? delay : 0;
+    }
+
     /** How long something that is read now may have waited to be read, in ms. */
-    double delay() {
+    private double delay() {
         double now = clock.now();
         if (Double.isNaN(foundAt)) {
             foundAt = now;
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -778,9 +778,8 @@
         if (Double.isNaN(exchange.arrivedAt)) {
             return 0;
         }
-        double delay = monitor.delay();
-        double unread = delay > Frontend.LATE_MS ? delay : 0;
-        return Math.max(0, clock.now() - Math.max(sentAt, exchange.arrivedAt) - unread);
+        double since = clock.now() - Math.max(sentAt, exchange.arrivedAt);
+        return Math.max(0, since - monitor.lateness());
     }
 
     /** An answer too large to be held has begun; null if nobody waits for it. */
@@ -925,7 +924,7 @@
     public void setTimer(long token, double at) {
         Exchange about = subject;
         loop.schedule(() -> {
-            if (clock.now() > at + Frontend.LATE_MS) {
+            if (clock.now() > at + LoopMonitor.LATE_MS) {
                 // The loop is late: the sockets have their turn first, and with them what ends the wait.
                 loop.schedule(() -> ring(about, token), 1, TimeUnit.NANOSECONDS);
             } else {
