--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -299,10 +299,15 @@
         }
         if (itsTurn) {
             held.hold(call);
-            if (!lookSet) {
-                lookSet = true;
-                actions.setTimer(HELD_TOKEN, now + LOOK_AGAIN);
-            }
+            lookLater(now);
+        }
+    }
+
+    /** Sees to it that the requests held are looked at again, if there are any. */
+    private void lookLater(double now) {
+        if (held.size() > 0 && !lookSet) {
+            lookSet = true;
+            actions.setTimer(HELD_TOKEN, now + LOOK_AGAIN);
         }
     }
 
@@ -343,10 +348,7 @@
         lookSet = false;
         ready.advance(now);
         wakeHeld(WOKEN_AT_ONCE, now);
-        if (held.size() > 0 && !lookSet) {
-            lookSet = true;
-            actions.setTimer(HELD_TOKEN, now + LOOK_AGAIN);
-        }
+        lookLater(now);
     }
 
     /** Rule 5: the time that the requests before it in its line are expected to take. */
@@ -773,12 +775,10 @@
             // A restart is a new server: cold, with a clean record.
             withdraw(known, now);
             started(upstream, upstream.startedAt(), now);
-        } else if (isPlacedAlike(known.listed, upstream)) {
-            known.listed = upstream;
-            servers.put(upstream.id(), known);
-            readyOrNot(known, now);
         } else {
-            withdraw(known, now);
+            if (!isPlacedAlike(known.listed, upstream)) {
+                withdraw(known, now);
+            }
             known.listed = upstream;
             servers.put(upstream.id(), known);
             readyOrNot(known, now);
