Work out the factors of groups once a draw, not for each upstream it passes over

Each upstream that a draw turned away had the factors of all groups, a power among them, worked out again; they hold for as long as a draw takes. Placement.warmedUp only passed on to endCold.

--- a/src/main/java/cranedeal/Placement.java
+++ b/src/main/java/cranedeal/Placement.java
@@ -83,12 +83,8 @@
         }
     }
 
-    /** The server's warm-up is over. */
-    void warmedUp(Server server, double now) {
-        endCold(server, now);
-    }
-
-    private void endCold(Server server, double now) {
+    /** A cold server's warm-up is over, or it leaves; what it has earned stays with it. */
+    void endCold(Server server, double now) {
         settle(server, now);
         waiting.remove(server);
         server.cold = false;
--- a/src/main/java/cranedeal/ReadyServers.java
+++ b/src/main/java/cranedeal/ReadyServers.java
@@ -64,7 +64,9 @@
     private double triesAt;
     private final double[] weights;
     private final List<Server> rejected = new ArrayList<>();
-    /** The shares of the groups in the draw at hand, each with those before it. */
+    /** In the draw at hand, the factor of each group, 0 for one that can't be drawn from. */
+    private double[] factors = {};
+    /** The shares of the groups in it, each with those before it. */
     private double[] shares = {};
     private final DrawCounts counts;
 
@@ -214,7 +216,7 @@
         }
         while (!warming.isEmpty() && now - warming.first().startedAt >= settings.rules().warmUp()) {
             Server server = warming.pollFirst();
-            server.placement.warmedUp(server, now);
+            server.placement.endCold(server, now);
             regroup(server, now);
         }
         while (!owing.isEmpty() && owing.first().owingAt <= now) {
@@ -357,7 +359,8 @@
     Server draw(ClassRecord c, int zone, boolean open, Predicate<Server> fits, SplittableRandom random,
             double now) {
         counts.draws++;
-        share(c, zone, open, now);
+        weighGroups(c, zone, open, now);
+        share(c);
         Server drawn = null;
         for (int i = 1; drawn == null && rejected.size() < MOST_REJECTED; i++) {
             ServerGroup group = group(random);
@@ -375,10 +378,10 @@
             } else if (accepted) {
                 bins.remove(proposed);
                 rejected.add(proposed);
-                share(c, zone, open, now);
+                share(c);
             } else if (weight * STALE < bound) {
                 touch(proposed, now);
-                share(c, zone, open, now);
+                share(c);
             }
         }
         for (Server server : rejected) {
@@ -389,17 +392,26 @@
         return drawn;
     }
 
-    /** Reckons the share of each group in a draw, as a sum with those before it. */
-    private void share(ClassRecord c, int zone, boolean open, double now) {
-        shares = shares.length < groups.size() ? new double[2 * groups.size()] : shares;
+    /** Works out the factors of the groups for a draw; they hold for as long as it takes. */
+    private void weighGroups(ClassRecord c, int zone, boolean open, double now) {
+        if (factors.length < groups.size()) {
+            factors = new double[2 * groups.size()];
+            shares = new double[2 * groups.size()];
+        }
         double evidence = evidence(now);
-        double sum = 0;
         for (int i = 0; i < groups.size(); i++) {
             ServerGroup group = groups.get(i);
             boolean may = !group.isEmpty() && group.bins[c.index] != null && !(open && group.closed)
                     && (zone == ANY_ZONE || group.placement.zone == zone);
-            double total = may ? group.bins[c.index].total() : 0;
-            sum += total == 0 ? 0 : total * costs.factor(group, c, evidence);
+            factors[i] = may ? costs.factor(group, c, evidence) : 0;
+        }
+    }
+
+    /** Reckons the share of each group in a draw, as a sum with those before it. */
+    private void share(ClassRecord c) {
+        double sum = 0;
+        for (int i = 0; i < groups.size(); i++) {
+            sum += factors[i] == 0 ? 0 : factors[i] * groups.get(i).bins[c.index].total();
             shares[i] = sum;
         }
     }
