--- a/src/test/java/cranedeal/node/Backlog.java
+++ b/src/test/java/cranedeal/node/Backlog.java
@@ -5,11 +5,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 
 /**
  * A listening socket whose queue is full: further connections hang until someone is accepted. That it is full
@@ -21,9 +18,6 @@
     /** The kernel takes one more than it was asked for. */
     private static final int BACKLOG = 1;
     private static final int FILLING = BACKLOG + 1;
-    /** As the kernel's tables have it. */
-    private static final String LISTENING = "0A";
-    private static final int HEX = 16;
 
     private final ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     private final List<Socket> filling = new ArrayList<>();
@@ -42,18 +36,8 @@
     }
 
     /** How many connections are up that nobody has accepted, as the kernel counts them. */
-    private int queued() throws IOException {
-        String port = String.format(Locale.ROOT, ":%04X", server.getLocalPort());
-        for (String table : List.of("tcp", "tcp6")) {
-            for (String line : Files.readAllLines(Path.of("/proc/self/net", table))) {
-                // Columns: number, local and remote address, state, two queues; the second counts.
-                String[] columns = line.strip().split("\\s+");
-                if (columns[1].endsWith(port) && columns[3].equals(LISTENING)) {
-                    return Integer.parseInt(columns[4].split(":")[1], HEX);
-                }
-            }
-        }
-        return 0;
+    private long queued() throws IOException {
+        return SocketTable.unread(server.getLocalPort(), true, SocketTable.State.LISTENING);
     }
 
     String address() {
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -75,18 +75,9 @@
 
     @Test
     void sigtermLetsAllThatIsTakenBeAnswered() throws Exception {
-        Path file = Files.createTempFile("node", ".json");
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
-        Process process = null;
-        try (Stage stage = new Stage()) {
-            Files.writeString(file, stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port));
-            process = start(file, "serve");
-            InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
-            Peer taken = Peer.toServing(address, process);
-            Peer idle = Peer.to(address);
+        try (Stage stage = new Stage(); Served served = new Served(stage)) {
+            Peer taken = Peer.toServing(served.address, served.process);
+            Peer idle = Peer.to(served.address);
             idle.write(Stage.HEALTH);
             assertEquals("keep-alive", idle.read().headers().getOrDefault("connection", "keep-alive"));
             taken.write(Stage.get("taken", "10"));
@@ -98,13 +89,13 @@
             second.read();
             second.write(Stage.ok("before"));
             assertEquals("before", idle.read().body());
-            process.destroy();
+            served.process.destroy();
             // A late caller, one on a connection that it had, and the one that was taken before.
             Peer.Message late = null;
             while (late == null || late.header("Connection") == null) {
                 // Until callers are sent away, answers keep the connection. Were it left open, so many would
                 // come that the idle one had to go.
-                try (Peer caller = Peer.to(address)) {
+                try (Peer caller = Peer.to(served.address)) {
                     caller.write(Stage.HEALTH);
                     late = caller.read();
                     assertEquals(200, late.status());
@@ -119,12 +110,7 @@
             assertTrue(idle.ended());
             upstream.write(Stage.ok("taken"));
             assertEquals("taken", taken.read().body());
-            assertTrue(process.waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
-        } finally {
-            if (process != null) {
-                process.destroyForcibly();
-            }
-            Files.delete(file);
+            served.endsByItself();
         }
     }
 
--- a/src/test/java/cranedeal/node/LateLoopTest.java
+++ b/src/test/java/cranedeal/node/LateLoopTest.java
@@ -4,10 +4,6 @@
 
 import cranedeal.LoadBalancer.Result;
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
@@ -22,8 +18,6 @@
     private static final int PATIENCE_S = 10;
     /** After that the node looks for answers again. */
     private static final double LOOKED_AT_MS = 50;
-    /** As the kernel's tables have it. */
-    private static final String ESTABLISHED = "01";
 
     @Test
     void anAnswerThatHasComeIsNoTimeoutHoweverLateItIsRead() throws Exception {
@@ -124,19 +118,9 @@
 
     /** Waits until a connection from or to a port of the node's side holds bytes that it has not read. */
     private static void awaitUnread(int port, boolean local) {
-        String wanted = String.format(Locale.ROOT, ":%04X", port);
         try {
-            while (true) {
-                for (String table : List.of("tcp", "tcp6")) {
-                    for (String line : Files.readAllLines(Path.of("/proc/self/net", table))) {
-                        // Columns: number, local and remote address, state, bytes to send and to be read.
-                        String[] columns = line.strip().split("\\s+");
-                        if (columns[local ? 1 : 2].endsWith(wanted) && columns[3].equals(ESTABLISHED)
-                                && !columns[4].endsWith(":00000000")) {
-                            return;
-                        }
-                    }
-                }
+            while (SocketTable.unread(port, local, SocketTable.State.ESTABLISHED) == 0) {
+                Thread.onSpinWait();
             }
         } catch (IOException e) {
             throw new AssertionError("cannot see what is unread", e);
--- a/src/test/java/cranedeal/node/LateRequestTest.java
+++ b/src/test/java/cranedeal/node/LateRequestTest.java
@@ -5,10 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -25,26 +21,17 @@
 
     @Test
     void requestsAfterSigtermAreAnsweredWhereUpstreamsHang() throws Exception {
-        Path file = Files.createTempFile("node", ".json");
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
-        Process process = null;
-        try (Stage stage = new Stage()) {
-            Files.writeString(file, stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port));
-            process = DrainTest.start(file, "serve");
-            InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
-            Peer.toServing(address, process);
+        try (Stage stage = new Stage(); Served served = new Served(stage)) {
+            Peer.toServing(served.address, served.process);
             List<Peer> callers = new ArrayList<>();
             for (int i = 0; i < CALLERS; i++) {
-                Peer caller = Peer.to(address);
+                Peer caller = Peer.to(served.address);
                 caller.write(Stage.HEALTH);
                 assertEquals(200, caller.read().status());
                 callers.add(caller);
             }
             // Nobody reads from the upstream's connections.
-            process.destroy();
+            served.process.destroy();
             for (int i = 0; i < CALLERS; i++) {
                 TimeUnit.MILLISECONDS.sleep(GAP_MS);
                 callers.get(i).write(Stage.get("late" + i, "10"));
@@ -55,12 +42,7 @@
                 assertTrue(answer.status() >= 500, answer.first());
                 assertNull(callers.get(i).read(), "its connection ends in order");
             }
-            assertTrue(process.waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
-        } finally {
-            if (process != null) {
-                process.destroyForcibly();
-            }
-            Files.delete(file);
+            served.endsByItself();
         }
     }
 }
