--- a/src/main/java/cranedeal/ReadyServers.java
+++ b/src/main/java/cranedeal/ReadyServers.java
@@ -208,7 +208,10 @@
         }
     }
 
-    /** Does what time has brought; the work is bounded, what is left is done at the next event. */
+    /**
+     * Does what time has brought. Of what is to be weighed anew a few are at each event; warm-ups that are
+     * over and calls that begin to be owed are taken in at once, however many end at one time.
+     */
     void advance(double now) {
         for (int i = 0; i < REFRESHED_AT_ONCE && !refreshes.isEmpty()
                 && refreshes.peekFirst().refreshAt <= now; i++) {
--- a/src/main/java/cranedeal/node/Figures.java
+++ b/src/main/java/cranedeal/node/Figures.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 
 /**
  * What a balancer counts, from 0 at its start. The node's loop feeds it where an event happens; any thread
@@ -49,8 +50,6 @@
     private volatile Boolean ordersKnown;
     private final Map<Enum<?>, AtomicLong> causes = new ConcurrentHashMap<>();
     private final AtomicLong connections = new AtomicLong();
-    /** Attempts after the first of their requests. */
-    private final AtomicLong retries = new AtomicLong();
     private volatile LoopDelay loopDelay = new LoopDelay(0, 0, 0, 0);
     private volatile Descriptors descriptors = new Descriptors(0, 0, 0, 0);
     private volatile ListInForce list = new ListInForce(0, 0);
@@ -103,7 +102,7 @@
     /** Descriptors by use: callers, those of them that rest, all connections, and how many there may be. */
     private record Descriptors(int callers, int resting, int open, int limit) { }
 
-    /** The version of the list in force, and how long it took from its last byte to that, in ms. */
+    /** The version of the list in force, and how long that took once it had been read, in ms. */
     private record ListInForce(long version, double tookMs) { }
 
     /** How late the loop was since this was last told. */
@@ -143,7 +142,6 @@
 
     /** An attempt after the first was asked for, as the one before ended so. */
     void retried(LoadBalancer.Result after) {
-        retries.incrementAndGet();
         count(after);
     }
 
@@ -185,7 +183,7 @@
         line(text, "draws", work.draws());
         line(text, "draws_examined", work.examined());
         line(text, "held", work.held());
-        line(text, "retries", retries.get());
+        line(text, "retries", Stream.of(LoadBalancer.Result.values()).mapToLong(this::counted).sum());
         lines(text, "retried_after_", LoadBalancer.Result.values());
         lines(text, "refused_for_", Refusal.values());
         lines(text, "closed_", Closing.values());
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/cranedeal/node/Sockets.java
@@ -120,7 +120,7 @@
         count(channel);
     }
 
-    /** Counts a connection to an upstream until it is closed. */
+    /** Counts a connection until it is closed. */
     void count(Channel channel) {
         open++;
         channel.closeFuture().addListener(closed -> open--);
