Tell by figures why a request was not served, and draw overloads by seed

Cause: neither a refusal's nor a failure's reason could be told. A 502, a 504, a client's failed connect and a connection that ended were one count in the rig, and the balancer counted only what it refused before the decisions.

Change: the figures count the decisions' refusals by reason (unserved_*), the pressure, and failures by cause (failed_for_*). The rig tells failures by status or by what became of the connection. `lab slope overload` draws an overload from each seed: busy processes beside the balancer, the rate and its steps, upstreams and their work, connections and a pause (SIGSTOP); a test plays one, with the seed as a property.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -88,6 +88,7 @@
     private final CostModel costs = new CostModel();
     private final LoadShedding shedding = new LoadShedding(FLEET_GAIN);
     private final DrawCounts drawCounts = new DrawCounts();
+    private final UnservedCounts unserved = new UnservedCounts();
     private ReadyServers ready;
     private final HeldRequests held = new HeldRequests();
     /** Whether the timer that looks at them is set. */
@@ -213,7 +214,8 @@
         }
         double refused = shedding.refused(call.record, now);
         if (refused > 0 && random.nextDouble() < refused) {
-            answerUnserved(call, now);
+            unserved.shed();
+            refuseOrFail(call, now);
             return;
         }
         if (!toldApart) {
@@ -583,8 +585,13 @@
         }
     }
 
-    /** Rule 1's one final answer: a refusal only where trying again is known to be harmless. */
     private void answerUnserved(Call call, double now) {
+        unserved.unserved(call.attempts.size());
+        refuseOrFail(call, now);
+    }
+
+    /** Rule 1's one final answer: a refusal only where trying again is known to be harmless. */
+    private void refuseOrFail(Call call, double now) {
         ServiceClass c = call.type;
         boolean harmless = c.repeat() == Repeat.IDEMPOTENT || call.firstMaybeRun() == null
                 || c.repeat() == Repeat.DEDUPLICATED && c.group() == Group.ALL;
@@ -714,7 +721,8 @@
 
     @Override
     public Work work() {
-        return new Work(drawCounts.draws, drawCounts.examined, held.size());
+        double pressure = Arrays.stream(classes).mapToDouble(c -> c.leader.pressure).max().orElse(0);
+        return new Work(drawCounts.draws, drawCounts.examined, held.size(), unserved.snapshot(), pressure);
     }
 
     @Override
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -184,13 +184,24 @@
      * @param draws how many draws of an upstream there were since the start
      * @param examined how many upstreams these have looked at
      * @param held how many requests wait now for an upstream that can take them
+     * @param unserved the requests that were refused or failed since the start
+     * @param pressure the greatest share of the work asked for that is refused now, between 0 and 1
      */
-    record Work(long draws, long examined, int held) {
+    record Work(long draws, long examined, int held, Unserved unserved, double pressure) {
 
         /** Nothing, or not known. */
-        public static final Work NONE = new Work(0, 0, 0);
+        public static final Work NONE = new Work(0, 0, 0, new Unserved(0, 0, 0), 0);
     }
 
+    /**
+     * How many requests an instance has refused or failed, by reason.
+     *
+     * @param shed refused on arrival, since signs of overload had been seen
+     * @param noUpstream never sent, as no upstream could take them in time
+     * @param attemptsFailed whose attempts failed, with no time or allowance left for another
+     */
+    record Unserved(long shed, long noUpstream, long attemptsFailed) { }
+
     /**
      * What an instance has learnt of classes and upstreams.
      *
--- a/src/main/java/cranedeal/lab/slope/DataPathClient.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathClient.java
@@ -25,6 +25,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -85,12 +86,14 @@
      * @param unconnected whose connection had not come up by the end: nobody had room for it in the queue
      * @param unsent not sent, as the client held all connections that it may
      * @param ended how many of the failed ones saw their connection end without an answer
+     * @param failures the failed ones by cause: a status, the end of a connection, a connect that failed
      * @param refusals the ids of the first refused calls
      * @param latency from a call's writing to its whole answer, of those served, in nanoseconds
      * @param lateness from when a call was due to its writing, in nanoseconds: the generator's own fault
      */
     record Block(long calls, long served, long refused, long failed, long unanswered, long unconnected,
-            long unsent, long ended, List<String> refusals, Histogram latency, Histogram lateness) { }
+            long unsent, long ended, Map<String, Long> failures, List<String> refusals, Histogram latency,
+            Histogram lateness) { }
 
     private static final class Tally {
 
@@ -101,6 +104,7 @@
         private long served;
         private long refused;
         private long failed;
+        private final Map<String, Long> failures = new TreeMap<>();
         private long ended;
         private long unsent;
         private long unanswered;
@@ -113,10 +117,16 @@
             open = new CountDownLatch(calls);
         }
 
+        void fail(String cause) {
+            failed++;
+            failures.merge(cause, 1L, Long::sum);
+            open.countDown();
+        }
+
         Block block() {
             return new Block(calls, served, refused, failed, unanswered,
                     calls - served - refused - failed - unanswered - unsent, unsent, ended,
-                    List.copyOf(refusals), latency.copy(), lateness.copy());
+                    Map.copyOf(failures), List.copyOf(refusals), latency.copy(), lateness.copy());
         }
     }
 
@@ -128,11 +138,13 @@
      */
     Block play(List<InetSocketAddress> targets, double perS, double seconds, long seed)
             throws InterruptedException {
+        return play(targets, LoadProfile.constant(perS, seconds), seed);
+    }
+
+    /** The same with a load that need not be constant. */
+    Block play(List<InetSocketAddress> targets, LoadProfile load, long seed) throws InterruptedException {
         SplittableRandom random = new SplittableRandom(seed);
-        List<Double> due = new ArrayList<>();
-        for (double at = gap(random, perS); at < seconds; at += gap(random, perS)) {
-            due.add(at);
-        }
+        List<Double> due = load.arrivals(random);
         Tally block = new Tally(due.size());
         loop.submit(() -> tally = block).sync();
         long start = System.nanoTime();
@@ -146,10 +158,6 @@
         return loop.submit(block::block).sync().getNow();
     }
 
-    private static double gap(SplittableRandom random, double perS) {
-        return -Math.log(1 - random.nextDouble()) / perS;
-    }
-
     private static void awaitTime(long nanos) throws InterruptedException {
         for (long left = nanos - System.nanoTime(); left > 0; left = nanos - System.nanoTime()) {
             if (left > SPIN_NANOS) {
@@ -210,8 +218,7 @@
                 fresh.target = target;
                 fresh.send(block, dueAt);
             } else {
-                block.failed++;
-                block.open.countDown();
+                block.fail("connect: " + up.cause().getMessage());
             }
         });
     }
@@ -270,15 +277,17 @@
                 if (answered.refusals.size() < Tally.IDS_KEPT) {
                     answered.refusals.add(id);
                 }
-            } else {
-                answered.failed++;
             }
             if (HttpUtil.isKeepAlive(response)) {
                 idle.computeIfAbsent(target, address -> new ArrayDeque<>()).addLast(this);
             } else {
                 ctx.close();
             }
-            answered.open.countDown();
+            if (status == OK || status == UNAVAILABLE) {
+                answered.open.countDown();
+            } else {
+                answered.fail("status " + status);
+            }
         }
 
         @Override
@@ -288,9 +297,8 @@
                 kept.remove(this);
             }
             if (block != null) {
-                block.failed++;
                 block.ended++;
-                block.open.countDown();
+                block.fail("connection ended");
                 block = null;
             }
             ctx.fireChannelInactive();
--- a/src/main/java/cranedeal/lab/slope/DataPathStage.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathStage.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -19,8 +20,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -36,9 +39,13 @@
     private static final long LOOK_EVERY_MS = 10;
     private static final long LONGEST_START_MS = 60_000;
     private static final int CONNECT_MS = 1_000;
+    private static final int FIRST_PORT = 10_000;
+    private static final int END_OF_PORTS = 32_000;
+    private static final int PORT_TRIES = 100;
     private static final String OPTION = "-Xlog:gc,gc+heap:stdout:uptime";
     /** What the young generation held before a collection, as the virtual machine logs it. */
     private static final Pattern EDEN = Pattern.compile("\\[([0-9.]+)s\\].*Eden: (\\d+)K\\(");
+    private static final String PREFIX = "edge_proxy.";
     private static final double NANOS_PER_US = 1e3;
     private static final int BYTES_PER_KB = 1_024;
 
@@ -153,10 +160,21 @@
         }
     }
 
+    /**
+     * A port that nobody holds now, from below those that the kernel deals out by itself: a connection of
+     * somebody else can't have taken it by the time it is bound.
+     */
     private static InetSocketAddress free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS))) {
-            return new InetSocketAddress(ADDRESS, socket.getLocalPort());
+        for (int i = 0; i < PORT_TRIES; i++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_OF_PORTS);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(ADDRESS))) {
+                return new InetSocketAddress(ADDRESS, socket.getLocalPort());
+            } catch (BindException e) {
+                // Somebody holds it: another one, then.
+                continue;
+            }
         }
+        throw new IOException("no free port from " + FIRST_PORT + " to " + END_OF_PORTS);
     }
 
     private Path log() {
@@ -215,11 +233,21 @@
 
     /** One of these figures; throws {@link java.util.NoSuchElementException} if there is none so named. */
     long figure(String name) {
-        String line = "edge_proxy." + name + "=";
+        String line = PREFIX + name + "=";
         return figures().lines().filter(one -> one.startsWith(line))
                 .mapToLong(one -> Long.parseLong(one.substring(line.length()))).findFirst().orElseThrow();
     }
 
+    /** All figures by name, without the prefix that they share. */
+    Map<String, Long> allFigures() {
+        Map<String, Long> byName = new LinkedHashMap<>();
+        figures().lines().filter(line -> line.startsWith(PREFIX)).forEach(line -> {
+            int equals = line.lastIndexOf('=');
+            byName.put(line.substring(PREFIX.length(), equals), Long.valueOf(line.substring(equals + 1)));
+        });
+        return byName;
+    }
+
     /** The balancer, for faults of its process. */
     Child balancer() {
         return balancer;
--- a/src/main/java/cranedeal/lab/slope/DataPathStudy.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathStudy.java
@@ -139,6 +139,9 @@
         counts.put("unconnected", block.unconnected());
         counts.put("unsent", block.unsent());
         counts.put("ended", block.ended());
+        if (!block.failures().isEmpty()) {
+            counts.put("failures", block.failures());
+        }
         if (!block.refusals().isEmpty()) {
             counts.put("refusals", block.refusals());
         }
--- a/src/main/java/cranedeal/lab/slope/GoodputStudy.java
+++ b/src/main/java/cranedeal/lab/slope/GoodputStudy.java
@@ -2,10 +2,8 @@
 
 import cranedeal.fleet.command.CommandException;
 import cranedeal.lab.LabCommand.ProgramUnderTest;
-import cranedeal.lab.slope.DataPathStage.Processor;
 import cranedeal.lab.slope.SlopeReport.Basis;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,12 +24,7 @@
 
     private static final double NANOS_PER_MS = 1e6;
     private static final double US_PER_S = 1e6;
-    private static final double RECOVERY_S = 2;
     private static final double AFTER_S = 3;
-    private static final long WARM_UP = 0;
-    private static final long OVERLOAD = 1;
-    private static final long RECOVERY = 2;
-    private static final long AFTER = 3;
 
     @Option(names = "--rates", split = ",", defaultValue = "250,500,1000,2000", paramLabel = "N",
             description = "Calls a second; default ${DEFAULT-VALUE}.")
@@ -58,51 +51,48 @@
     @Option(names = "--after-rate", defaultValue = "50", paramLabel = "N",
             description = "Calls a second before the load and after it; default ${DEFAULT-VALUE}.")
     private double afterRate;
+    @Option(names = "--work-ms", defaultValue = "0", paramLabel = "N",
+            description = "How long each upstream takes for an answer; default ${DEFAULT-VALUE}.")
+    private int workMs;
+    @Option(names = "--seed", defaultValue = "0", paramLabel = "N",
+            description = "The seed of the arrivals; default ${DEFAULT-VALUE}.")
+    private long seed;
     @Mixin
     private ProgramUnderTest program;
 
-    /** What one balancer did: under load, and from two seconds after its end. */
-    private record Seen(DataPathClient.Block load, DataPathClient.Block after, double cpuUs,
-            double seconds) { }
-
     @Override
     protected SlopeReport measure() throws CommandException, IOException, InterruptedException {
         if (rates.size() < Line.LEAST_SIZES) {
             throw wrong("--rates: " + Line.LEAST_SIZES + " or more are wanted for a line");
         }
         if (rates.stream().anyMatch(rate -> !(rate > 0)) || upstreams < 1 || !(seconds > 0) || processor < 0
-                || busy < 0 || sockets < 1 || connections < 1 || !(afterRate > 0)) {
+                || busy < 0 || sockets < 1 || connections < 1 || !(afterRate > 0) || workMs < 0) {
             throw wrong("rates, upstreams, times and descriptors above 0 are wanted");
         }
-        Map<Double, Seen> seen = new TreeMap<>();
+        Map<Double, OverloadPlay> seen = new TreeMap<>();
         for (double rate : rates) {
             seen.put(rate, play(rate));
         }
         return report(seen);
     }
 
-    private Seen play(double rate) throws CommandException, IOException, InterruptedException {
-        try (DataPathStage stage = new DataPathStage(program.command(), upstreams, 0, sockets,
-                connections, new Processor(processor, busy))) {
-            List<InetSocketAddress> balancer = List.of(stage.listen());
-            stage.client().play(balancer, afterRate, AFTER_S, WARM_UP);
-            double before = stage.cpuUs();
-            DataPathClient.Block load = stage.client().play(balancer, rate, seconds, OVERLOAD);
-            double cpu = stage.cpuUs() - before;
-            stage.client().play(balancer, afterRate, RECOVERY_S, RECOVERY);
-            return new Seen(load, stage.client().play(balancer, afterRate, AFTER_S, AFTER), cpu, seconds);
-        }
+    private OverloadPlay play(double rate) throws CommandException, IOException, InterruptedException {
+        OverloadScenario scenario = new OverloadScenario(busy, LoadProfile.constant(rate, seconds), upstreams,
+                workMs, connections, 0, seed);
+        return OverloadPlay.play(program.command(), scenario, processor, sockets,
+                new OverloadPlay.Calm(afterRate, AFTER_S));
     }
 
-    private SlopeReport report(Map<Double, Seen> seen) {
+    private SlopeReport report(Map<Double, OverloadPlay> seen) {
         SlopeReport report = report("call a second").with("upstreams", upstreams).with("seconds", seconds)
                 .with("busy", busy).with("sockets", sockets).with("connections", connections);
         Map<String, Object> counts = new LinkedHashMap<>();
         seen.forEach((rate, one) -> {
             counts.put("load-at-" + rate.longValue(), DataPathStudy.told(one.load()));
+            counts.put("causes-at-" + rate.longValue(), one.causes());
             counts.put("after-" + rate.longValue(), DataPathStudy.told(one.after()));
         });
-        add(report, "goodput", "calls/s", seen, one -> one.load().served() / one.seconds());
+        add(report, "goodput", "calls/s", seen, one -> one.load().served() / seconds);
         add(report, "refused", "share", seen, one -> share(one.load().refused(), one.load()));
         add(report, "failed", "share", seen, one -> share(one.load().failed(), one.load()));
         add(report, "unanswered", "share", seen, one -> share(one.load().unanswered(), one.load()));
@@ -120,8 +110,8 @@
         return (double) part / Math.max(1, of.calls());
     }
 
-    private static void add(SlopeReport report, String name, String unit, Map<Double, Seen> seen,
-            ToDoubleFunction<Seen> what) {
+    private static void add(SlopeReport report, String name, String unit, Map<Double, OverloadPlay> seen,
+            ToDoubleFunction<OverloadPlay> what) {
         List<Point> points = new ArrayList<>();
         seen.forEach((rate, one) -> points.add(Point.of(rate, what.applyAsDouble(one))));
         report.add(name, unit, Basis.MEASURED, points);
--- /dev/null
+++ b/src/main/java/cranedeal/lab/slope/OverloadPlay.java
@@ -0,0 +1,123 @@
+package cranedeal.lab.slope;
+
+import cranedeal.lab.slope.DataPathStage.Processor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Plays an overload against a balancer: little before it, the load, two seconds of little for the balancer
+ * to recover, and little again.
+ *
+ * @param load what became of the calls under load
+ * @param after what became of those from two seconds after it
+ * @param cpuUs the processor time that the balancer used under load, in microseconds
+ * @param before the balancer's figures before the load
+ * @param figures the same after the last call
+ */
+record OverloadPlay(DataPathClient.Block load, DataPathClient.Block after, double cpuUs,
+        Map<String, Long> before, Map<String, Long> figures) {
+
+    private static final double RECOVERY_S = 2;
+    private static final long MS_PER_S = 1_000;
+    private static final List<String> CAUSES = List.of("refused_for_", "failed_for_", "unserved_",
+            "connect_failed_", "closed_", "retried_after_");
+
+    /** The calls a second before and after the load, and for how many seconds. */
+    record Calm(double perS, double seconds) { }
+
+    /** Plays a scenario with the given calm around its load, on a balancer of its own. */
+    static OverloadPlay play(List<String> program, OverloadScenario scenario, int processor, int sockets,
+            Calm calm) throws IOException, InterruptedException {
+        try (DataPathStage stage = new DataPathStage(program, scenario.upstreams(),
+                TimeUnit.MILLISECONDS.toMicros(scenario.workMs()), sockets, scenario.connections(),
+                new Processor(processor, scenario.competitors()))) {
+            List<InetSocketAddress> balancer = List.of(stage.listen());
+            DataPathClient client = stage.client();
+            long seed = scenario.seed();
+            client.play(balancer, LoadProfile.constant(calm.perS(), calm.seconds()), seed);
+            Map<String, Long> before = stage.allFigures();
+            double cpuBefore = stage.cpuUs();
+            DataPathClient.Block load = playWithPause(stage, balancer, scenario);
+            double cpuUs = stage.cpuUs() - cpuBefore;
+            client.play(balancer, LoadProfile.constant(calm.perS(), RECOVERY_S), seed + 2);
+            DataPathClient.Block after = client.play(balancer,
+                    LoadProfile.constant(calm.perS(), calm.seconds()), seed + 3);
+            return new OverloadPlay(load, after, cpuUs, before, stage.allFigures());
+        }
+    }
+
+    private static DataPathClient.Block playWithPause(DataPathStage stage, List<InetSocketAddress> balancer,
+            OverloadScenario scenario) throws IOException, InterruptedException {
+        ExecutorService pauses = Executors.newSingleThreadExecutor();
+        try {
+            Future<Void> paused = pauses.submit(() -> {
+                pause(stage, scenario);
+                return null;
+            });
+            DataPathClient.Block load = stage.client().play(balancer, scenario.load(), scenario.seed() + 1);
+            paused.get();
+            return load;
+        } catch (ExecutionException e) {
+            throw new IOException("the balancer could not be paused", e.getCause());
+        } finally {
+            pauses.shutdownNow();
+        }
+    }
+
+    private static void pause(DataPathStage stage, OverloadScenario scenario)
+            throws IOException, InterruptedException {
+        if (scenario.pauseMs() > 0) {
+            TimeUnit.MILLISECONDS.sleep((long) (scenario.load().seconds() * MS_PER_S / 2));
+            stage.balancer().signal("STOP");
+            TimeUnit.MILLISECONDS.sleep(scenario.pauseMs());
+            stage.balancer().signal("CONT");
+        }
+    }
+
+    /** How often each cause of an ending was counted since the load began, where it was. */
+    Map<String, Long> causes() {
+        Map<String, Long> causes = new LinkedHashMap<>();
+        figures.forEach((name, count) -> {
+            long since = count - before.getOrDefault(name, 0L);
+            if (since != 0 && CAUSES.stream().anyMatch(name::startsWith)) {
+                causes.put(name, since);
+            }
+        });
+        return causes;
+    }
+
+    /** How many connections of callers the balancer closed, or did not take, since the load began. */
+    long closedCallers() {
+        Map<String, Long> causes = causes();
+        return causes.getOrDefault("closed_caller_not_taken", 0L)
+                + causes.getOrDefault("closed_caller_for_room", 0L)
+                + causes.getOrDefault("closed_silent_caller_for_room", 0L);
+    }
+
+    /** What broke the terms: no answer, a failure, a close that no figure explains, a refusal in calm. */
+    List<String> faults() {
+        List<String> faults = new ArrayList<>();
+        if (load.unanswered() > 0) {
+            faults.add(load.unanswered() + " unanswered under load");
+        }
+        if (load.failed() != load.ended()) {
+            faults.add(load.failed() - load.ended() + " failed under load");
+        }
+        if (load.ended() > closedCallers()) {
+            faults.add(load.ended() + " ended, " + closedCallers() + " closed by the balancer");
+        }
+        if (after.served() != after.calls()) {
+            faults.add(after.calls() - after.served() + " of " + after.calls() + " not served after it");
+        }
+        return faults;
+    }
+}
--- a/src/main/java/cranedeal/node/Figures.java
+++ b/src/main/java/cranedeal/node/Figures.java
@@ -20,6 +20,7 @@
     /** The one control character that is not below the blank. */
     private static final int DELETE = 0x7f;
     private static final String PREFIX = "edge_proxy.";
+    private static final double PERCENT = 100;
 
     /** Why a request was refused before the decision module had it. */
     enum Refusal { PROCESSOR, ENDING }
@@ -33,6 +34,13 @@
     /** Why a connection to an upstream did not come up. */
     enum ConnectFailure { NO_DESCRIPTOR, NO_SOCKET, NOT_UP }
 
+    /**
+     * Why a request was answered as failed: its attempts failed, an answer that had begun broke off, it had
+     * no answer when its time was over, the decision module or the handling of its message threw, or the
+     * process ended.
+     */
+    enum Failure { UPSTREAMS, BROKEN_ANSWER, DEADLINE, DECISION_ERROR, HANDLER_ERROR, ENDING }
+
     /** How the requests of one class ended. */
     private static final class Answers {
         final AtomicLong success = new AtomicLong();
@@ -140,6 +148,11 @@
         count(why);
     }
 
+    /** A request was answered as failed. */
+    void failed(Failure why) {
+        count(why);
+    }
+
     /** An attempt after the first was asked for, as the one before ended so. */
     void retried(LoadBalancer.Result after) {
         count(after);
@@ -183,9 +196,14 @@
         line(text, "draws", work.draws());
         line(text, "draws_examined", work.examined());
         line(text, "held", work.held());
+        line(text, "pressure_percent", Math.round(PERCENT * work.pressure()));
+        line(text, "unserved_shed", work.unserved().shed());
+        line(text, "unserved_no_upstream", work.unserved().noUpstream());
+        line(text, "unserved_attempts_failed", work.unserved().attemptsFailed());
         line(text, "retries", Stream.of(LoadBalancer.Result.values()).mapToLong(this::counted).sum());
         lines(text, "retried_after_", LoadBalancer.Result.values());
         lines(text, "refused_for_", Refusal.values());
+        lines(text, "failed_for_", Failure.values());
         lines(text, "closed_", Closing.values());
         lines(text, "connect_failed_", ConnectFailure.values());
     }
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -575,6 +575,7 @@
             } catch (RuntimeException e) {
                 Node.LOG.log(Level.SEVERE, "a request could not be handled", e);
                 if (current != null) {
+                    figures.failed(Figures.Failure.HANDLER_ERROR);
                     write(HttpResponseStatus.INTERNAL_SERVER_ERROR, Unpooled.EMPTY_BUFFER, 0);
                 }
             }
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -483,7 +483,8 @@
         loop.submit(() -> {
             frontend.endAll();
             List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
-                    .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT));
+                    .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT,
+                            Figures.Failure.ENDING));
         }).sync();
         if (!done) {
             awaitEnd(latest + LAST_WORDS_MS);
@@ -633,12 +634,13 @@
     private void broken(Exchange about, Throwable cause) {
         LOG.log(Level.SEVERE, "the decision module failed", cause);
         if (about != null && about.isOpen()) {
-            fail(about, HttpResponseStatus.INTERNAL_SERVER_ERROR);
+            fail(about, HttpResponseStatus.INTERNAL_SERVER_ERROR, Figures.Failure.DECISION_ERROR);
         }
     }
 
     /** Fails a request over the module's head and tells it that the client waits no more. */
-    private void fail(Exchange exchange, HttpResponseStatus status) {
+    private void fail(Exchange exchange, HttpResponseStatus status, Figures.Failure why) {
+        figures.failed(why);
         exchange.answer(status, Unpooled.EMPTY_BUFFER, 0);
         leave(exchange);
     }
@@ -725,7 +727,7 @@
             exchange.overdue = loop.schedule(() -> overdue(exchange), LARGE_CHECK_MS, TimeUnit.MILLISECONDS);
         } else if (exchange.isOpen()) {
             LOG.warning("a request was left without an answer");
-            fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT);
+            fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT, Figures.Failure.DEADLINE);
         }
     }
 
@@ -760,6 +762,7 @@
             if (result == Result.OK) {
                 exchange.end();
             } else {
+                figures.failed(Figures.Failure.BROKEN_ANSWER);
                 exchange.answer(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
             }
         } else if (result == Result.OK) {
@@ -861,6 +864,7 @@
 
     @Override
     public void fail(long requestId) {
+        figures.failed(Figures.Failure.UPSTREAMS);
         answer(requestId, HttpResponseStatus.BAD_GATEWAY, 0);
     }
 
--- /dev/null
+++ b/src/test/java/cranedeal/lab/slope/OverloadScenarioTest.java
@@ -0,0 +1,45 @@
+package cranedeal.lab.slope;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cranedeal.lab.LabCommand.ProgramUnderTest;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** One overload of those that {@code lab slope overload} draws; {@code -Doverload.seed=N} plays another. */
+@Timeout(180)
+class OverloadScenarioTest {
+
+    /** A pause, three busy processes beside the balancer, and as many connections as the clients need. */
+    private static final String USUAL_SEED = "3";
+    private static final int SOCKETS = 1_024;
+    private static final OverloadPlay.Calm CALM = new OverloadPlay.Calm(50, 2);
+
+    @Test
+    void theBalancerComesThroughADrawnOverload() throws Exception {
+        OverloadScenario scenario = OverloadScenario.of(Long.parseLong(System.getProperty("overload.seed",
+                USUAL_SEED)));
+        System.out.println("plays " + scenario);
+        OverloadPlay seen = OverloadPlay.play(new ProgramUnderTest().command(), scenario, 0, SOCKETS, CALM);
+        assertEquals(List.of(), seen.faults(), () -> scenario + ": " + DataPathStudy.told(seen.load()) + ", "
+                + DataPathStudy.told(seen.after()) + ", " + seen.causes());
+    }
+
+    @Test
+    void aLoadRisesAndFallsInEqualSteps() {
+        LoadProfile load = new LoadProfile(900, 8, 3);
+        assertEquals(300, load.rateAt(0), 1e-9);
+        assertEquals(600, load.rateAt(1), 1e-9);
+        assertEquals(900, load.rateAt(2), 1e-9);
+        assertEquals(900, load.rateAt(5), 1e-9);
+        assertEquals(600, load.rateAt(7), 1e-9);
+        assertEquals(900, LoadProfile.constant(900, 8).rateAt(0), 1e-9);
+        int calls = load.arrivals(new SplittableRandom(1)).size();
+        // 900 a second for 4 s, and 600 in the mean for 4 s.
+        assertTrue(calls > 5_700 && calls < 6_300, () -> calls + " calls");
+        assertEquals(load.arrivals(new SplittableRandom(1)), load.arrivals(new SplittableRandom(1)));
+    }
+}
--- a/src/test/java/cranedeal/node/FiguresTest.java
+++ b/src/test/java/cranedeal/node/FiguresTest.java
@@ -43,7 +43,7 @@
                 assertEquals(0, figures.get("edge_proxy." + name), name);
             }
             assertEquals(3, figures.get("edge_proxy.targets"));
-            assertEquals(49, figures.size());
+            assertEquals(59, figures.size());
         }
     }
 
