Take the process's own lateness for no pressure at upstreams, and for no fault of theirs

Seen: after 4,000 to 8,000 calls a second, calls at 50 a second were refused two seconds later, and up to 14,146 of 26,719 under load were refused as shed, though upstreams answered at once.

A call was strained when its strain timer was due, though its connection or its answer had come and lay unread; upstreams were full of calls whose answers lay unread, so that a request was held; and an attempt was ended as a failed connect when its connection had come up and nobody had looked (`expire` looked for an answer only once the request was written), or when this process had no descriptor or socket, all of which was charged to the upstream.

Change: the host tells how long it has itself held an attempt up, from the connection's coming up and from the last look at the sockets, and how much spare time it has had. The strain timer counts without the former. A held request is a sign only if this process was idle for half of the time that the upstream's oldest call has been out. An attempt whose time is over gets a look at the sockets before it is ended, and what its connection waited unseen is added to its time. Want of a descriptor or socket ends as NOT_SENT. A time of which the process's own part isn't known is no sample of a latency. The loop is also seen to be late when it wakes after the time for which it had set its alarm, as after SIGSTOP.

--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -15,18 +15,24 @@
         final Call call;
         final Server server;
         final int number;
-        /** From when its time counts. */
+        /** From when its time counts, and the host's spare time at that moment. */
         double sentAt;
+        double spareAtSend;
         LoadBalancer.Result result;
         boolean streaming;
         /** Whether it was taken as a sign of overload while it was out. */
         boolean strained;
 
-        Attempt(Call call, Server server, double sentAt) {
+        Attempt(Call call, Server server) {
             this.call = call;
             this.server = server;
             this.number = call.attempts.size();
-            this.sentAt = sentAt;
+        }
+
+        /** Its time counts from now. */
+        void sent(double now, double spareTime) {
+            sentAt = now;
+            spareAtSend = spareTime;
         }
     }
 
@@ -37,6 +43,8 @@
     final long id;
     /** From when the request's time counts. */
     double arrivedAt;
+    /** The host's spare time at its arrival. */
+    final double spareAtArrival;
     /** Whether its body is still on its way. */
     boolean arriving;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -48,6 +56,8 @@
     double usefulEnd;
     /** The greatest l of a server that it may go to while one that it was drawn to has no room. */
     double worst = Double.MAX_VALUE;
+    /** That server; null before. */
+    Server crowded;
     /** Whether it has waited for room. */
     boolean waited;
     /** When its waiting is to end, if it is held; the earliest time for which a timer is set. */
@@ -56,7 +66,8 @@
     boolean done;
     boolean streaming;
 
-    Call(LoadBalancer.Request request, ClassRecord record, double arrivedAt) {
+    Call(LoadBalancer.Request request, ClassRecord record, double arrivedAt, double spareAtArrival) {
+        this.spareAtArrival = spareAtArrival;
         this.request = request;
         this.record = record;
         this.type = record.type;
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -75,6 +75,8 @@
     private static final double STRAINED = 0.5;
     /** The longest wait advised to a refused client, of its aim: it should come back in good time. */
     private static final double RETURN_SHARE = 0.5;
+    /** The share of a wait for servers in which this process must have been idle for it to be their doing. */
+    private static final double SPARE_SHARE = 0.5;
     private static final long WATCH_TOKEN = -1;
     private static final long HELD_TOKEN = -2;
     private static final int HOLD_TIMER = 0xff;
@@ -197,7 +199,7 @@
     }
 
     private void take(double now, Request request, boolean arriving) {
-        Call call = new Call(request, classes[request.serviceClass()], now);
+        Call call = new Call(request, classes[request.serviceClass()], now, actions.spareTime(now));
         call.arriving = arriving;
         calls.put(request.id(), call);
         extraCalls = Math.min(EXTRA_SAVED, extraCalls + EXTRA_PER_REQUEST);
@@ -247,7 +249,7 @@
         call.usefulEnd = usefulEnd(call, deadline, now);
         for (Attempt attempt : call.attempts) {
             if (attempt.result == null) {
-                attempt.sentAt = now;
+                attempt.sent(now, actions.spareTime(now));
                 begins(attempt, now);
                 ready.touch(attempt.server, now);
             }
@@ -275,7 +277,8 @@
         if (server == null && call.worst < Double.MAX_VALUE) {
             latest = Math.min(latest, call.arrivedAt + STRAINED * call.type.aim());
             // One sign when the wait begins and one if it is in vain: it says no more by being long.
-            if (settings.tier() == 0 && (!call.waited || now >= latest)) {
+            if (settings.tier() == 0 && (call.waited ? now >= latest && hadSpareTime(call, now)
+                    : hadSpareTime(call.crowded, now))) {
                 LoadShedding.feel(call.record.leader, false, now);
             }
             call.waited = true;
@@ -290,6 +293,25 @@
         }
     }
 
+    /**
+     * Whether a server's calls fill it by its own doing. While this process is busy their answers lie unread,
+     * and a server that has answered long ago looks full.
+     */
+    private boolean hadSpareTime(Server server, double now) {
+        Attempt oldest = server == null ? null : server.out.peekFirst();
+        return oldest == null || hadSpareTime(oldest.sentAt, oldest.spareAtSend, now);
+    }
+
+    /** Whether a request has waited for the servers, and not for this process. */
+    private boolean hadSpareTime(Call call, double now) {
+        return hadSpareTime(call.arrivedAt, call.spareAtArrival, now);
+    }
+
+    /** Whether this process had spare time for at least a share of the time since a moment. */
+    private boolean hadSpareTime(double since, double spareThen, double now) {
+        return actions.spareTime(now) - spareThen >= SPARE_SHARE * (now - since);
+    }
+
     /**
      * Has a request wait until something changes, at the longest until a time. One that waits for its turn
      * is woken by those before it.
@@ -396,6 +418,7 @@
         if (drawn == null || isOpen(drawn, call, now)) {
             return drawn;
         }
+        call.crowded = drawn;
         call.worst = Math.min(call.worst, NOT_MUCH_WORSE * costs.atRest(drawn, call.record, now));
         return draw(call, true, server -> usable.test(server) && isOpen(server, call, now), now);
     }
@@ -472,7 +495,8 @@
     // ---- The send ----------------------------------------------------------------------------------
 
     private void send(Call call, Server server, double now) {
-        Attempt attempt = new Attempt(call, server, now);
+        Attempt attempt = new Attempt(call, server);
+        attempt.sent(now, actions.spareTime(now));
         double timeout = call.arriving ? 0 : call.usefulEnd - now;
         double slowAfter = call.slowAfter();
         double giveUpAfter = Math.max(GIVE_UP * slowAfter, LEAST_WAIT * call.type.aim());
@@ -514,8 +538,7 @@
             // Overload is felt when a call becomes overdue: by the time it ends, a crowd has gathered.
             Attempt attempt = call.attempts.get(number - STRAIN_TIMER);
             if (attempt.result == null && !attempt.streaming) {
-                feel(attempt, false, now);
-                attempt.strained = true;
+                strained(attempt, token, now);
             }
         } else if (!call.streaming && call.attempts.size() == number + 1
                 && call.attempts.get(number).result == null
@@ -529,6 +552,18 @@
         }
     }
 
+    /** An attempt has been out for long; what this process has held it up is no fault of its server. */
+    private void strained(Attempt attempt, long token, double now) {
+        double dueAt = attempt.sentAt + actions.heldUp(attempt.call.id, attempt.number)
+                + strainedAfter(attempt.call);
+        if (now < dueAt) {
+            actions.setTimer(token, dueAt);
+        } else {
+            feel(attempt, false, now);
+            attempt.strained = true;
+        }
+    }
+
     // ---- The outcome -------------------------------------------------------------------------------
 
     @Override
@@ -550,7 +585,8 @@
         boolean counted = attempt.streaming && !call.type.streamed();
         boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
         // What breaks at once tells of a fault, not of a crowd.
-        if (!counted && outcome.result() != Result.CANCELLED && (!inGoodTime || outcome.result() == Result.OK
+        boolean ended = outcome.result() != Result.CANCELLED && outcome.result() != Result.NOT_SENT;
+        if (!counted && ended && (!inGoodTime || outcome.result() == Result.OK
                 || outcome.result() == Result.FULL || outcome.result() == Result.TIMEOUT)) {
             feel(attempt, outcome.result() == Result.OK && inGoodTime, now);
         }
@@ -703,6 +739,10 @@
 
     private void observeLatency(Attempt attempt, double elapsed) {
         Call call = attempt.call;
+        if (actions.heldUp(call.id, attempt.number) > 0) {
+            // What is left of the time may be nothing or all of it: among true latencies that is no sample.
+            return;
+        }
         Server server = attempt.server;
         double perHint = Math.max(LEAST_LATENCY, elapsed) / call.hintFactor();
         double relative = perHint / call.record.latency.value();
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -122,6 +122,23 @@
         /** Writes a line to the host's log. */
         void log(String text);
 
+        /**
+         * How long this process itself, rather than the upstream, has held up an attempt so far, in ms: its
+         * connection had come up or its answer had come, and nobody had looked yet; 0 where that is too short
+         * to matter. An outcome's elapsed time leaves that out already, as far as it is known.
+         */
+        default double heldUp(long requestId, int attempt) {
+            return 0;
+        }
+
+        /**
+         * For how long this process has had nothing to do up to now, in ms from an arbitrary origin. While it
+         * is busy this stands still; a host whose processor is never short moves on with the clock.
+         */
+        default double spareTime(double now) {
+            return now;
+        }
+
         /** Every other instance of the tier. */
         int ALL_PEERS = -1;
     }
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -121,6 +121,12 @@
         return caller.isThere();
     }
 
+    /** How long this process held an attempt up before its request went out, in ms. */
+    double heldUp(int number) {
+        UpstreamClient.Attempt attempt = number < attempts.size() ? attempts.get(number) : null;
+        return attempt == null ? 0 : attempt.heldUp();
+    }
+
     /** Answers unless that is done already or nobody waits any more; breaks off an answer that has begun. */
     void answer(HttpResponseStatus status, ByteBuf body, double retryAfter) {
         Caller waiting = caller;
--- a/src/main/java/cranedeal/node/LoopMonitor.java
+++ b/src/main/java/cranedeal/node/LoopMonitor.java
@@ -8,9 +8,9 @@
 import java.util.function.Consumer;
 
 /**
- * Sees how late the node's loop is: it stands around the part of the loop that waits for sockets, and learns
- * how long the loop was busy between two looks at them. What is read in a look may have come at any time
- * since the look before, if the loop did not wait in between.
+ * Measures how far the node's loop is behind: it stands around the part of the loop that waits for sockets
+ * ("a look"), and learns how long the loop was busy between two looks, or was not given the processor. What
+ * is read in a look may have come at any time since the look before, if the loop did not wait in between.
  */
 final class LoopMonitor implements IoHandler {
 
@@ -18,17 +18,25 @@
     static final double LATE_MS = 50;
     /** A look that found nothing for so long has waited for it to come. */
     private static final double WAITED_MS = 1;
+    /** The selector rounds its waits to ms. */
+    private static final double ROUNDING_MS = 1;
+    private static final double NANOS_PER_MS = 1e6;
 
     private final IoHandler handler;
     private final Clock clock;
-    /** When the present look at the sockets found the first of what it reads; NaN before. */
+    /** Whether a look is under way. */
+    private boolean looking;
+    /** When the present look found the first of what it reads; NaN before. */
     private double foundAt = Double.NaN;
     /** Whether the present look takes only what is there already. */
     private boolean immediate;
     private double lookAt;
+    /** When the present look ought to have ended at the latest, found something or not. */
+    private double wakeAt;
     /** When the look before had found what was there: the rest has come since. */
     private double lookedAt;
     private double longestBusy;
+    private double spare;
 
     private LoopMonitor(IoHandler handler, Clock clock) {
         this.handler = handler;
@@ -49,20 +57,28 @@
 
     /** How long something that is read now has lain unread, in ms; 0 while the loop is not late. */
     double lateness() {
-        double delay = delay();
+        double delay = clock.now() - unreadSince();
         return delay > LATE_MS ? delay : 0;
     }
 
-    /** How long something that is read now may have waited to be read, in ms. */
-    private double delay() {
-        double now = clock.now();
+    /** Since when something that is read now may have waited to be read, in ms of the clock. */
+    private double unreadSince() {
+        if (!looking) {
+            return lookedAt;
+        }
         if (Double.isNaN(foundAt)) {
-            foundAt = now;
+            foundAt = clock.now();
         }
-        return now - (immediate || foundAt - lookAt < WAITED_MS ? lookedAt : foundAt);
+        boolean waited = !immediate && foundAt - lookAt >= WAITED_MS;
+        return waited ? Math.min(foundAt, wakeAt) : lookedAt;
+    }
+
+    /** For how long the loop has had nothing to do since its start, in ms. */
+    double spare() {
+        return spare;
     }
 
-    /** The longest time in ms between two looks at the sockets since this was last asked, waits left out. */
+    /** The longest time in ms between two looks since this was last asked, waits left out. */
     double takeLongestBusy() {
         double longest = longestBusy;
         longestBusy = 0;
@@ -74,13 +90,21 @@
         lookAt = clock.now();
         longestBusy = Math.max(longestBusy, lookAt - lookedAt);
         immediate = !context.canBlock();
+        wakeAt = immediate ? lookAt : lookAt + ROUNDING_MS + mostWaitMs(context);
         foundAt = Double.NaN;
+        looking = true;
         int handled = handler.run(context);
+        looking = false;
         double found = Double.isNaN(foundAt) ? clock.now() : foundAt;
-        lookedAt = immediate ? lookAt : found;
+        lookedAt = immediate ? lookAt : Math.min(found, wakeAt);
+        spare += lookedAt - lookAt;
         return handled;
     }
 
+    private static double mostWaitMs(IoHandlerContext context) {
+        return Math.max(0, context.delayNanos(System.nanoTime()) / NANOS_PER_MS);
+    }
+
     @Override
     public void initialize() {
         handler.initialize();
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -147,7 +147,8 @@
         sockets = new Sockets(config.sockets() - (config.admin() == null ? 0 : Door.DESCRIPTORS)
                 - (config.fleet() == null ? 0 : Presence.DESCRIPTORS));
         balancer = module.apply(this);
-        upstreams = new UpstreamClient(loop, clock, config.settings(), sockets, figures, memory);
+        upstreams = new UpstreamClient(loop, clock, monitor::lateness, config.settings(), sockets, figures,
+                memory);
         discovery = new Discovery(loop, config, memory, this::told, WatchPlan.WATCH_MS);
         frontend = new Frontend(loop, config, sockets, memory, this, figures, monitor, clock);
         figures.show(config.classes());
@@ -698,7 +699,7 @@
                 exchange.overdue.cancel(false);
                 watch(exchange);
                 exchange.attempts.stream().filter(Objects::nonNull)
-                        .forEach(attempt -> attempt.waitUntil(exchange.deadline));
+                        .forEach(attempt -> attempt.waitForAnswerUntil(exchange.deadline));
                 tell(exchange, () -> balancer.bodyArrived(clock.now(), exchange.id, exchange.deadline));
             }
 
@@ -769,7 +770,7 @@
             exchange.answer(HttpResponseStatus.OK, response.content(), 0);
         }
         tell(exchange, () -> balancer.attemptFinished(clock.now(), new Outcome(exchange.id, number, upstream,
-                result, !exchange.isOpen(), elapsed(exchange, sentAt), report)));
+                result, !exchange.isOpen(), elapsed(exchange, number, sentAt), report)));
         settle(exchange);
     }
 
@@ -777,12 +778,12 @@
      * How long an upstream has had a request: it can't begin before it has the whole body. While the loop is
      * late its answer lies unread, and that is no work of the upstream's.
      */
-    private double elapsed(Exchange exchange, double sentAt) {
+    private double elapsed(Exchange exchange, int number, double sentAt) {
         if (Double.isNaN(exchange.arrivedAt)) {
             return 0;
         }
         double since = clock.now() - Math.max(sentAt, exchange.arrivedAt);
-        return Math.max(0, since - monitor.lateness());
+        return Math.max(0, since - exchange.heldUp(number) - monitor.lateness());
     }
 
     /** An answer too large to be held has begun; null if nobody waits for it. */
@@ -793,7 +794,7 @@
         }
         Download download = exchange.begin(length, attempt::resume);
         tell(exchange, () -> balancer.streamStarted(clock.now(), exchange.id, number,
-                elapsed(exchange, sentAt)));
+                elapsed(exchange, number, sentAt)));
         return download;
     }
 
@@ -854,7 +855,7 @@
                 return Node.this.begun(exchange, number, now, attempt, length);
             }
         };
-        exchange.attempts.add(upstreams.send(upstream, exchange.request, until, listener));
+        exchange.attempts.add(upstreams.send(upstream, exchange.request, until, exchange.deadline, listener));
     }
 
     @Override
@@ -884,6 +885,17 @@
         }
     }
 
+    @Override
+    public double heldUp(long requestId, int attempt) {
+        Exchange exchange = exchanges.get(requestId);
+        return exchange == null ? 0 : exchange.heldUp(attempt) + monitor.lateness();
+    }
+
+    @Override
+    public double spareTime(double now) {
+        return monitor.spare();
+    }
+
     private static void readNow(UpstreamClient.Attempt attempt) {
         if (attempt != null) {
             attempt.readNow();
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -45,6 +45,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 
 /**
  * Carries attempts and probes to upstreams, one at a time on a connection, and reports how each ended. It
@@ -91,6 +92,7 @@
 
     private final EventLoop loop;
     private final Clock clock;
+    private final DoubleSupplier lateness;
     private Settings settings;
     private final Sockets sockets;
     private final Figures figures;
@@ -113,10 +115,12 @@
     private int unreadable;
     private double toldAt = Double.NEGATIVE_INFINITY;
 
-    UpstreamClient(EventLoop loop, Clock clock, Settings settings, Sockets sockets, Figures figures,
-            ByteBufAllocator memory) {
+    /** {@code lateness} tells how long what is read now has lain unread, in ms. */
+    UpstreamClient(EventLoop loop, Clock clock, DoubleSupplier lateness, Settings settings, Sockets sockets,
+            Figures figures, ByteBufAllocator memory) {
         this.loop = loop;
         this.clock = clock;
+        this.lateness = lateness;
         this.sockets = sockets;
         this.figures = figures;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -232,16 +236,18 @@
     }
 
     /**
-     * Sends a request to an upstream and waits until the given time. {@code body} and {@code listener} are
-     * used until the listener has been called. A body that is still on its way has all its time.
+     * Sends a request to an upstream and waits until the given time. Where this process itself holds the
+     * attempt up, that is no time of the upstream's, and it waits for so much longer, until {@code latest} at
+     * the most. {@code body} and {@code listener} are used until the listener has been called. A body that is
+     * still on its way has all its time.
      */
-    Attempt send(long upstream, FullHttpRequest request, double until, Listener listener) {
-        return send(upstream, request, false, until, listener);
+    Attempt send(long upstream, FullHttpRequest request, double until, double latest, Listener listener) {
+        return send(upstream, request, false, until, latest, listener);
     }
 
-    private Attempt send(long upstream, FullHttpRequest request, boolean probe, double until,
+    private Attempt send(long upstream, FullHttpRequest request, boolean probe, double until, double latest,
             Listener listener) {
-        Attempt attempt = new Attempt(request, probe, listener);
+        Attempt attempt = new Attempt(request, probe, latest, listener);
         attempt.waitUntil(until);
         attempt.start(targets.get(upstream));
         return attempt;
@@ -251,7 +257,7 @@
     void probe(long upstream, double until, Listener listener) {
         String path = settings.reportFields().isEmpty() ? "/ping" : "/_load";
         send(upstream, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
-                Unpooled.EMPTY_BUFFER), true, until, listener);
+                Unpooled.EMPTY_BUFFER), true, until, until, listener);
     }
 
     void closeIdle(long upstream) {
@@ -337,7 +343,12 @@
         private final Upload upload;
         private final Listener listener;
         private double until;
+        /** Until when {@link #until} may be put off, and by how many ms this process has held it up. */
+        private double latest;
+        private double heldUp;
         private Future<?> expiry;
+        /** Whether the sockets have been looked at since its time was over. */
+        private boolean lookedAgain;
         private Target target;
         /** The process that it was meant for. */
         private Member meant;
@@ -353,15 +364,22 @@
         private Download download;
         private double movedAt;
 
-        private Attempt(FullHttpRequest request, boolean probe, Listener listener) {
+        private Attempt(FullHttpRequest request, boolean probe, double latest, Listener listener) {
             this.request = request;
             this.probe = probe;
+            this.latest = latest;
             this.listener = listener;
             upload = request instanceof LargeRequest large ? large.upload : null;
         }
 
+        /** Sets how long to wait at the most, as a body has come. */
+        void waitForAnswerUntil(double given) {
+            latest = given;
+            waitUntil(given);
+        }
+
         /** Sets how long to wait; infinity for a body that is on its way. */
-        void waitUntil(double given) {
+        private void waitUntil(double given) {
             until = given;
             if (!over && download == null && until < Double.POSITIVE_INFINITY) {
                 expiry = loop.schedule(this::expire, clock.nanosUntil(until), TimeUnit.NANOSECONDS);
@@ -379,8 +397,9 @@
             if (kept != null) {
                 begin(kept);
             } else if (!sockets.roomForUpstream()) {
+                // This process's own want says nothing of the upstream.
                 figures.failed(Figures.ConnectFailure.NO_DESCRIPTOR);
-                end(Result.CONNECT_FAILED, null);
+                end(Result.NOT_SENT, null);
             } else {
                 connect(to);
             }
@@ -390,7 +409,7 @@
             ChannelFuture connect = Sockets.connect(bootstrap, to.member.address());
             if (connect == null) {
                 figures.failed(Figures.ConnectFailure.NO_SOCKET);
-                end(Result.CONNECT_FAILED, null);
+                end(Result.NOT_SENT, null);
                 return;
             }
             channel = connect.channel();
@@ -400,6 +419,7 @@
                 if (over) {
                     channel.close();
                 } else if (up.isSuccess()) {
+                    putOff(lateness.getAsDouble());
                     begin(channel.pipeline().get(Connection.class));
                 } else {
                     figures.failed(Figures.ConnectFailure.NOT_UP);
@@ -408,6 +428,20 @@
             });
         }
 
+        /** Waits for so many ms longer: its connection stood so long before this process saw that. */
+        private void putOff(double ms) {
+            heldUp += ms;
+            if (ms > 0 && until < latest) {
+                expiry.cancel(false);
+                waitUntil(Math.min(latest, until + ms));
+            }
+        }
+
+        /** How long this process has held it up before its request went out, in ms. */
+        double heldUp() {
+            return heldUp;
+        }
+
         /** Writes the request, unless it has waited too long for its connection. */
         private void begin(Connection connection) {
             channel = connection.channel;
@@ -428,7 +462,7 @@
                 } else {
                     connection.park(target);
                 }
-                end(Result.CONNECT_FAILED, null);
+                end(now >= until && heldUp > 0 ? Result.NOT_SENT : Result.CONNECT_FAILED, null);
                 return;
             }
             begunAt = now;
@@ -554,8 +588,18 @@
             }
         }
 
+        /**
+         * Its time is over. Timers that are due come before the sockets in a loop that is late, so its answer
+         * is read first, or its connection looked at, which may long be up.
+         */
         private void expire() {
             readNow();
+            if (!over && !written && !lookedAgain) {
+                lookedAgain = true;
+                // What is executed rather than scheduled would run before the sockets are looked at.
+                expiry = loop.schedule(this::expire, 1, TimeUnit.NANOSECONDS);
+                return;
+            }
             giveUp(written ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
 
--- a/src/test/java/cranedeal/node/LateLoopTest.java
+++ b/src/test/java/cranedeal/node/LateLoopTest.java
@@ -93,6 +93,41 @@
         }
     }
 
+    /**
+     * The loop is busy for longer than an attempt may take, and its connection is up in the kernel all that
+     * time. The timer that ends the attempt is handled before the sockets are looked at; it ended the attempt
+     * as a failed connect, which was charged to the upstream (retried_after_connect_failed in the figures,
+     * with no connect_failed at all).
+     */
+    @Test
+    void aConnectionThatHasComeUpIsNoFailedConnectHoweverLateThatIsSeen() throws Exception {
+        try (Stage stage = new Stage(2).start()) {
+            Peer caller = stage.caller();
+            Peer upstream = keptConnection(stage, caller);
+            // The second attempt begins, and the loop is busy, within a look at the sockets.
+            stage.script.onOpen = (to, outcome) -> {
+                to.send(outcome.requestId(), stage.script.upstreams.get(1).id(), TIMEOUT_MS);
+                spin(2 * TIMEOUT_MS);
+            };
+            caller.write(Stage.get("2", "10"));
+            upstream.read();
+            upstream.write("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(Result.ERROR, stage.script.result());
+            Peer other = stage.upstreams.get(1).accept();
+            other.read();
+            other.write(Stage.ok("second"));
+            assertEquals(Result.OK, stage.script.result());
+            assertEquals("second", caller.read().body());
+        }
+    }
+
+    private static void spin(double ms) {
+        long start = System.nanoTime();
+        while (System.nanoTime() - start < ms * 1e6) {
+            Thread.onSpinWait();
+        }
+    }
+
     /** Brings it about that a request is out before the call that sends it returns. */
     private static Peer keptConnection(Stage stage, Peer caller) throws Exception {
         caller.write(Stage.get("1", "10"));
@@ -111,9 +146,7 @@
         long start = System.nanoTime();
         String address = upstream.address();
         awaitUnread(Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)), false);
-        while (System.nanoTime() - start < atLeastMs * 1e6) {
-            Thread.onSpinWait();
-        }
+        spin(atLeastMs - (System.nanoTime() - start) / 1e6);
     }
 
     /** Waits until a connection from or to a port of the node's side holds bytes that it has not read. */
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -27,6 +27,9 @@
 @Timeout(60)
 class UpstreamClientTest {
 
+    /** Those that a node leaves to what isn't a connection. */
+    private static final int DESCRIPTORS_OF_THE_PROCESS = 64;
+
     @Test
     void aRequestGoesOnUnchangedAndItsAnswerComesBack() throws Exception {
         try (Stage stage = new Stage().start()) {
@@ -381,6 +384,37 @@
         return upstream;
     }
 
+    /**
+     * This process has no descriptor left for another connection. That was reported as a failed connect, so
+     * that good upstreams were taken for bad ones (connect_failed_no_descriptor in the figures, thousands,
+     * and retried_after_connect_failed).
+     */
+    @Test
+    void anAttemptForWhichThereIsNoDescriptorSaysNothingOfItsUpstream() throws Exception {
+        try (Stage stage = new Stage(2)) {
+            // Four of five may be open when another is asked for: three callers, and one upstream.
+            stage.sockets = DESCRIPTORS_OF_THE_PROCESS + 5;
+            stage.start();
+            Peer caller = stage.caller();
+            for (Peer one : new Peer[] {caller, stage.caller(), stage.caller()}) {
+                one.write(Stage.HEALTH);
+                assertEquals(200, one.read().status());
+            }
+            stage.script.onRequest = request -> {
+                stage.script.sendTo(0, request, 0);
+                stage.script.sendTo(1, request, 0);
+            };
+            stage.script.onOpen = (to, outcome) -> { };
+            caller.write(Stage.get("1", "10"));
+            assertEquals(Result.NOT_SENT, stage.script.result());
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(Stage.ok("one"));
+            assertEquals(Result.OK, stage.script.result());
+            assertEquals("one", caller.read().body());
+        }
+    }
+
     /** A release replaces every upstream: first it drains, then it is gone. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -391,7 +425,7 @@
             stage.drainGrace = 50;
             Files.writeString(file, stage.config());
             NodeConfig config = NodeConfig.read(file.toString());
-            UpstreamClient client = new UpstreamClient(loop, new Clock(), config.settings(),
+            UpstreamClient client = new UpstreamClient(loop, new Clock(), () -> 0, config.settings(),
                     new Sockets(1_024), new Figures(), ByteBufAllocator.DEFAULT);
             String draining = Stage.entry(0, "127.0.0.1:1", "draining");
             String up = Stage.entry(1, "127.0.0.1:2", "up");
