Serve from a short queue under overload, and close unread before a channel is made

Cause: (1) A slice of the queue lasted as long as all else, up to 100 ms, in which nobody read an answer: upstreams looked full, requests were held, and calls ran out of descriptors. (2) All that came while the oldest had waited 100 ms was refused at once, so that its callers came again at once: the refusals grew with the speed of refusing. (3) Requests were taken from the queue with no descriptor left to send them on. (4) A connection without a place was made a channel of Netty's before it was closed.

A request is refused when its own wait is over 100 ms, as its turn comes; one that has waited less is served. While no connection to an upstream could be opened, requests wait on in the queue. The listening socket closes connections without a place as it accepts them (CallerListener), 512 at a look.

FrontendTest closes the connections that it is denied: some 20,000 are turned away in its two seconds now, and it ran out of descriptors itself.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -17,7 +17,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -59,11 +58,10 @@
     private static final int BACKLOG = 4_096;
     /** How soon it accepts again after that has failed, in ms. */
     private static final long ACCEPT_AGAIN_MS = 10;
-    /**
-     * Callers that are taken in at one look at the sockets. Netty's 16 are fewer than come while a loop is
-     * late, and whoever has no place in the queue tries again only after a second.
-     */
-    private static final int ACCEPTED_AT_ONCE = 1_024;
+    /** Callers that are taken in at one look at the sockets; those with a connection wait meanwhile. */
+    private static final int ACCEPTED_AT_ONCE = 512;
+    /** How soon it is looked again whether requests that wait for a descriptor can be sent on, in ms. */
+    private static final long BLOCKED_MS = 1;
     private static final String HEALTH_PATH = "/_health";
     /** Requests that a connection may send ahead of their turn. */
     private static final int MAX_AHEAD = 16;
@@ -143,7 +141,8 @@
         this.node = node;
         this.figures = figures;
         this.monitor = monitor;
-        arrivals = new Arrivals<>(clock::now, Connection::handleWaiting);
+        arrivals = new Arrivals<>(clock::now, sockets::mayOpenUpstream, Connection::handleWaiting,
+                Connection::refuseLate);
         sockets.evictCallersWith(new Sockets.IdlePool() {
             @Override
             public double idleSince() {
@@ -173,7 +172,8 @@
     void bind(boolean shared) throws ConfigException, InterruptedException {
         socket = open();
         ServerBootstrap server = new ServerBootstrap().group(loop)
-                .channelFactory(() -> new NioServerSocketChannel(socket))
+                .channelFactory(() -> new CallerListener(socket, this::mayTake,
+                        () -> figures.closed(Figures.Closing.CALLER_NOT_TAKEN)))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
@@ -200,6 +200,12 @@
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Whether there may be room for a caller besides so many that are on their way; closes nothing. */
+    private boolean mayTake(int others) {
+        return sockets.mayTakeCaller(others)
+                || !unserved.isEmpty() && unserved.iterator().next().since <= node.now() - FRESH_MS;
+    }
+
     /**
      * Stands before whatever is accepted. Without room for it a caller is closed unread, which costs next to
      * nothing: to close others that may be used again would have these come anew, and to leave it in the
@@ -338,15 +344,17 @@
 
     /** Handles a slice of what waits, and goes on with the rest once the sockets have had their turn. */
     private void handleSlice() {
-        if (arrivals.handleSlice()) {
+        switch (arrivals.handleSlice()) {
             // What is executed rather than scheduled would run before the sockets are looked at.
-            loop.schedule(this::handleSlice, 1, TimeUnit.NANOSECONDS);
+            case READY -> loop.schedule(this::handleSlice, 1, TimeUnit.NANOSECONDS);
+            case BLOCKED -> loop.schedule(this::handleSlice, BLOCKED_MS, TimeUnit.MILLISECONDS);
+            default -> { }
         }
     }
 
     /** At the end of a drain: nothing that comes from now on is taken, and who waits is refused. */
     void endAll() {
-        List.copyOf(connections).forEach(Connection::refuseWaiting);
+        List.copyOf(connections).forEach(connection -> connection.refuseWaiting(Figures.Refusal.ENDING));
         List.copyOf(connections).stream().filter(Connection::isIdle)
                 .forEach(connection -> connection.shutDown());
     }
@@ -552,8 +560,6 @@
             if (current instanceof LargeRequest) {
                 // Its body goes on to come, and has to have its owner by then.
                 handle(current);
-            } else if (arrivals.isOverloaded() && isRefusable()) {
-                refuseOverloaded(Figures.Refusal.PROCESSOR);
             } else {
                 waits = true;
                 if (arrivals.add(this)) {
@@ -581,17 +587,26 @@
             }
         }
 
-        /** At the end of the process: its turn won't come any more. */
-        void refuseWaiting() {
+        /** Its turn has come too late for it to be served. */
+        void refuseLate() {
+            if (isRefusable()) {
+                refuseWaiting(Figures.Refusal.PROCESSOR);
+            } else {
+                handleWaiting();
+            }
+        }
+
+        /** Refuses the request that waits for its turn, if there is one. */
+        void refuseWaiting(Figures.Refusal why) {
             if (waits) {
                 waits = false;
-                refuseOverloaded(Figures.Refusal.ENDING);
+                refuseOverloaded(why);
             }
         }
 
         /** Whether a refusal is a proper answer to the request at work. */
         private boolean isRefusable() {
-            return current.decoderResult().isSuccess() && !current.uri().equals(HEALTH_PATH);
+            return waits && current.decoderResult().isSuccess() && !current.uri().equals(HEALTH_PATH);
         }
 
         /** Refuses the request at work before anything is done for it. */
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/cranedeal/node/Sockets.java
@@ -100,6 +100,12 @@
         return limit;
     }
 
+    /** Whether {@link #roomForUpstream} would say yes; closes nothing. */
+    boolean mayOpenUpstream() {
+        return open < limit - limit / CALLERS_SHARE || !Double.isNaN(upstreams.idleSince())
+                || !Double.isNaN(callers.idleSince());
+    }
+
     /** Whether a connection to an upstream may be opened, after an idle one has gone for it if need be. */
     boolean roomForUpstream() {
         return open < limit - limit / CALLERS_SHARE || evictIdle();
@@ -113,6 +119,11 @@
         return callersOpen < limit - limit / UPSTREAMS_SHARE ? open < limit || evictIdle() : callers.evict();
     }
 
+    /** Whether {@link #roomForCaller} might say yes with so many callers more; closes nothing. */
+    boolean mayTakeCaller(int others) {
+        return callersOpen + others < limit - limit / UPSTREAMS_SHARE || !Double.isNaN(callers.idleSince());
+    }
+
     /** Counts a caller's connection until it is closed. */
     void countCaller(Channel channel) {
         callersOpen++;
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -354,6 +354,10 @@
                 } catch (IOException e) {
                     // There was no place for it yet.
                 }
+                if (answer == null) {
+                    // Tens of thousands are turned away in that time; this process's descriptors end too.
+                    next.close();
+                }
             }
             assertEquals(200, answer.status());
             assertTrue(callers.get(0).ended());
