Try a request that has just come however long calls are expected to take

The figures: unserved_no_upstream grew by one with each request, held was 0, and draws stood still.

Cause: a request is sent only if a quarter of its expected time is left. Once a class's expected time was over four times its aim, no request of it was sent, so that nothing could show that it takes less: the state kept itself up. Expected times had risen so far since times of which the process's own part had been taken off were often 0, and a class's expected time is divided by an upstream's share of it. Such times are no samples any more; but whatever raises the estimate must not end a class.

Change: what has to be left is half of a request's useful time at most.

Tests: SlowEstimateTest, which fails without it (1 request sent, 2 expected).

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -52,6 +52,8 @@
     private static final double EXTRA_SAVED = 3;
     /** Least share of the expected latency that must be left for a send to make sense. */
     private static final double TOO_LATE = 0.25;
+    /** The most of its useful time that must be left for it. */
+    private static final double MOST_RESERVED = 0.5;
     /** Share of the allowed multiple of a cold server's capacity that its send budget uses. */
     private static final double COLD_MARGIN = 0.3;
     /** The least wait advised to a refused client, in ms. */
@@ -271,7 +273,7 @@
      * and where those worth going to are full, once it is strained.
      */
     private void dispatch(Call call, double now) {
-        double latest = call.usefulEnd - TOO_LATE * call.expected() - ahead(call);
+        double latest = call.usefulEnd - reserved(call) - ahead(call);
         boolean itsTurn = call.line == null || call.line.peekFirst() == call;
         Server server = itsTurn && now < latest ? draw(call, true, now) : null;
         if (server == null && call.worst < Double.MAX_VALUE) {
@@ -293,6 +295,14 @@
         }
     }
 
+    /**
+     * The time that must be left for a send to make sense. However long calls are expected to take, one that
+     * has just come is tried: where none is, nothing would ever show that they take less.
+     */
+    private static double reserved(Call call) {
+        return Math.min(TOO_LATE * call.expected(), MOST_RESERVED * (call.usefulEnd - call.arrivedAt));
+    }
+
     /**
      * Whether a server's calls fill it by its own doing. While this process is busy their answers lie unread,
      * and a server that has answered long ago looks full.
