Read callers' requests in a class of its own

What a request's headers mean by the settings is RequestParser now; Frontend asks it. No behaviour changes: FrontendTest, MessageFormsTest and RetuneTest pass as they are.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -1,7 +1,5 @@
 package cranedeal.node;
 
-import cranedeal.LoadBalancer.Repeat;
-import cranedeal.LoadBalancer.Request;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -24,8 +22,6 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -34,8 +30,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
-import io.netty.handler.codec.http.cookie.Cookie;
-import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import io.netty.handler.timeout.ReadTimeoutException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -44,10 +38,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
@@ -65,9 +57,6 @@
     private static final String HEALTH_PATH = "/_health";
     /** Requests that a connection may send ahead of their turn. */
     private static final int MAX_AHEAD = 16;
-    /** The longest wait that a caller can ask for, in seconds. */
-    private static final double LONGEST_WAIT = 3_600;
-    private static final int MS = 1_000;
     /** The largest body that is taken. */
     static final long MAX_LARGE = 32 << 20;
     /**
@@ -111,7 +100,7 @@
     private final LoopMonitor monitor;
     /** The connections whose requests have been read and wait to be handled. */
     private final Arrivals<Connection> arrivals;
-    private final Map<String, Integer> classes = new HashMap<>();
+    private RequestParser parser;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Those of them that have been served and rest, the longest first. */
     private final Set<Connection> resting = new LinkedHashSet<>();
@@ -162,10 +151,7 @@
     /** From now on requests are read by these settings. */
     final void retune(NodeConfig replaced) {
         config = replaced;
-        classes.clear();
-        for (int i = 0; i < config.classes().size(); i++) {
-            classes.put(config.classes().get(i), i);
-        }
+        parser = new RequestParser(replaced);
     }
 
     /** Starts to listen; at an address that another process of this balancer has too if that is so. */
@@ -407,16 +393,6 @@
     /** A request, and when it came, in ms of the clock. */
     private record Received(FullHttpRequest request, double at) { }
 
-    /** A request that its caller has got wrong, and how to say so. */
-    private static final class BadRequestException extends Exception {
-
-        private static final long serialVersionUID = 1;
-
-        BadRequestException(String message) {
-            super(message, null, false, false);
-        }
-    }
-
     /** One caller's connection: one request at a time, those sent ahead wait for their turn. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest>
             implements Exchange.Caller {
@@ -534,7 +510,7 @@
             // An answer to another method may have no body, and is no place to go on from. Answers that pile
             // up unread would take the memory of all.
             ended = !request.decoderResult().isSuccess() || !HttpUtil.isKeepAlive(request)
-                    || !isGet(request) && !isPost(request)
+                    || !RequestParser.isGet(request) && !RequestParser.isPost(request)
                     || ahead.size() == MAX_AHEAD - 1 || !channel.isWritable();
             // Where the loop is late, that may be long ago.
             double arrivedAt = node.now() - monitor.lateness();
@@ -611,9 +587,9 @@
 
         /** Refuses the request at work before anything is done for it. */
         private void refuseOverloaded(Figures.Refusal why) {
-            String name = current.headers().get("X-Lane", firstPart(current.uri()));
+            String name = RequestParser.className(current);
             figures.refused(why);
-            if (classes.containsKey(name)) {
+            if (parser.knows(name)) {
                 figures.answered(name, HttpResponseStatus.SERVICE_UNAVAILABLE);
             }
             double longest = config.settings().limits().maxRetryAfter();
@@ -657,13 +633,13 @@
                 return;
             }
             try {
-                Template template = read(request, currentAt);
+                RequestParser.Template template = parser.parse(request, currentAt);
                 Exchange begun = node.request(template::withId, request.retain(), this);
                 // The answer may have come already, and with it the next request.
                 if (begun.isOpen()) {
                     exchange = begun;
                 }
-            } catch (BadRequestException e) {
+            } catch (RequestParser.BadRequestException e) {
                 reject(HttpResponseStatus.BAD_REQUEST, e.getMessage());
             }
         }
@@ -867,92 +843,4 @@
     void turnedDown() {
         malformed++;
     }
-
-    /** A request as the module wants it, but for its id. */
-    private record Template(int serviceClass, int tenant, long key, double deadline, double cost,
-            boolean retry, boolean write) {
-
-        Request withId(long id) {
-            return new Request(id, serviceClass, tenant, key, deadline, cost, retry, write);
-        }
-    }
-
-    private Template read(FullHttpRequest request, double now) throws BadRequestException {
-        HttpHeaders headers = request.headers();
-        Integer serviceClass = classes.get(headers.get("X-Lane", firstPart(request.uri())));
-        if (serviceClass == null) {
-            throw new BadRequestException("unknown class");
-        }
-        if (headers.get("X-Txn", "").isBlank()) {
-            throw new BadRequestException("X-Txn is missing");
-        }
-        Repeat repeat = config.settings().classes().get(serviceClass).repeat();
-        boolean get = isGet(request);
-        if (get != (repeat == Repeat.IDEMPOTENT) || !get && !isPost(request)) {
-            throw new BadRequestException("the class wants another method");
-        }
-        if (repeat == Repeat.DEDUPLICATED && headers.get("Idempotency-Key", "").isBlank()) {
-            throw new BadRequestException("Idempotency-Key is missing");
-        }
-        String tenant = headers.get("X-Org");
-        int tenantIndex = config.tenants().isEmpty() || tenant == null ? 0 : config.tenants().indexOf(tenant);
-        if (tenantIndex < 0) {
-            throw new BadRequestException("unknown tenant");
-        }
-        double remaining = number(headers, "X-Remaining");
-        if (Double.isNaN(remaining)) {
-            throw new BadRequestException("X-Remaining is missing");
-        }
-        double estimate = number(headers, "X-Estimate");
-        return new Template(serviceClass, tenantIndex, key(headers.get("Cookie")),
-                now + Math.min(LONGEST_WAIT, remaining) * MS, Double.isNaN(estimate) ? 0 : estimate / MS,
-                "1".equals(headers.get("X-Resent")), !get);
-    }
-
-    private static boolean isGet(FullHttpRequest request) {
-        return request.method().equals(HttpMethod.GET);
-    }
-
-    private static boolean isPost(FullHttpRequest request) {
-        return request.method().equals(HttpMethod.POST);
-    }
-
-    private static String firstPart(String uri) {
-        List<String> parts = List.of(uri.split("[/?]", 3));
-        return parts.size() > 1 ? parts.get(1) : "";
-    }
-
-    /** A header's number, not below 0; NaN where the header is absent. */
-    private static double number(HttpHeaders headers, String name) throws BadRequestException {
-        String text = headers.get(name);
-        if (text == null) {
-            return Double.NaN;
-        }
-        try {
-            double value = Double.parseDouble(text);
-            if (Double.isFinite(value) && value >= 0) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // Reported below, like a value out of range.
-        }
-        throw new BadRequestException(name + " is no number of use");
-    }
-
-    /** What the request is about, as the cookie {@code key} has it; 0 for none. */
-    private static long key(String cookies) {
-        if (cookies == null) {
-            return 0;
-        }
-        for (Cookie cookie : ServerCookieDecoder.LAX.decode(cookies)) {
-            if (cookie.name().equals("key")) {
-                try {
-                    return Long.parseUnsignedLong(cookie.value(), 16);
-                } catch (NumberFormatException e) {
-                    return cookie.value().hashCode();
-                }
-            }
-        }
-        return 0;
-    }
 }
