Keep the signs of overload in a class of its own

When a wait, an overdue call or an outcome is a sign of overload stood in three places of the balancer's one long class. It is OverloadSigns now, with one reason for all three: what the process itself has held up is no sign.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -69,16 +69,8 @@
     /** Most wait before the registry is asked again, of askEvery and in ms: its news count as told 6 s on. */
     private static final double ASK_AGAIN = 0.2;
     private static final double ASK_SOON = 1_200;
-
-    /**
-     * A first-tier call that takes more of its aim than this is a sign of overload; the worth of a late
-     * answer is added, since where it is none the warning must come earlier.
-     */
-    private static final double STRAINED = 0.5;
     /** The longest wait advised to a refused client, of its aim: it should come back in good time. */
     private static final double RETURN_SHARE = 0.5;
-    /** The share of a wait for servers in which this process must have been idle for it to be their doing. */
-    private static final double SPARE_SHARE = 0.5;
     private static final long WATCH_TOKEN = -1;
     private static final long HELD_TOKEN = -2;
     private static final int HOLD_TIMER = 0xff;
@@ -93,6 +85,7 @@
     private final LoadShedding shedding = new LoadShedding(FLEET_GAIN);
     private final DrawCounts drawCounts = new DrawCounts();
     private final UnservedCounts unserved = new UnservedCounts();
+    private final OverloadSigns signs;
     private ReadyServers ready;
     private final HeldRequests held = new HeldRequests();
     /** Whether the timer that looks at them is set. */
@@ -116,6 +109,7 @@
     /** Creates an instance that asks its host for actions through {@code actions}. */
     public LatencyWeightedBalancer(Actions actions) {
         this.actions = actions;
+        signs = new OverloadSigns(actions);
     }
 
     @Override
@@ -138,6 +132,7 @@
         servers.values().forEach(server -> withdraw(server, now));
         costs.retune(settings, classes);
         shedding.retune(settings, classes);
+        signs.retune(settings);
         ready = new ReadyServers(settings, classes, kinds, costs, drawCounts, now);
         for (Server server : servers.values()) {
             server.queued = false;
@@ -263,7 +258,7 @@
         attempt.server.out.addLast(attempt);
         if (settings.tier() == 0) {
             actions.setTimer(attempt.call.id << 8 | STRAIN_TIMER | attempt.number,
-                    now + strainedAfter(attempt.call));
+                    now + OverloadSigns.strainedAfter(attempt.call));
         }
     }
 
@@ -277,13 +272,8 @@
         boolean itsTurn = call.line == null || call.line.peekFirst() == call;
         Server server = itsTurn && now < latest ? draw(call, true, now) : null;
         if (server == null && call.worst < Double.MAX_VALUE) {
-            latest = Math.min(latest, call.arrivedAt + STRAINED * call.type.aim());
-            // One sign when the wait begins and one if it is in vain: it says no more by being long.
-            if (settings.tier() == 0 && (call.waited ? now >= latest && hadSpareTime(call, now)
-                    : hadSpareTime(call.crowded, now))) {
-                LoadShedding.feel(call.record.leader, false, now);
-            }
-            call.waited = true;
+            latest = Math.min(latest, call.arrivedAt + OverloadSigns.STRAINED * call.type.aim());
+            signs.waited(call, now >= latest, now);
         }
         if (server != null) {
             held.release(call);
@@ -303,25 +293,6 @@
         return Math.min(TOO_LATE * call.expected(), MOST_RESERVED * (call.usefulEnd - call.arrivedAt));
     }
 
-    /**
-     * Whether a server's calls fill it by its own doing. While this process is busy their answers lie unread,
-     * and a server that has answered long ago looks full.
-     */
-    private boolean hadSpareTime(Server server, double now) {
-        Attempt oldest = server == null ? null : server.out.peekFirst();
-        return oldest == null || hadSpareTime(oldest.sentAt, oldest.spareAtSend, now);
-    }
-
-    /** Whether a request has waited for the servers, and not for this process. */
-    private boolean hadSpareTime(Call call, double now) {
-        return hadSpareTime(call.arrivedAt, call.spareAtArrival, now);
-    }
-
-    /** Whether this process had spare time for at least a share of the time since a moment. */
-    private boolean hadSpareTime(double since, double spareThen, double now) {
-        return actions.spareTime(now) - spareThen >= SPARE_SHARE * (now - since);
-    }
-
     /**
      * Has a request wait until something changes, at the longest until a time. One that waits for its turn
      * is woken by those before it.
@@ -548,7 +519,7 @@
             // Overload is felt when a call becomes overdue: by the time it ends, a crowd has gathered.
             Attempt attempt = call.attempts.get(number - STRAIN_TIMER);
             if (attempt.result == null && !attempt.streaming) {
-                strained(attempt, token, now);
+                signs.overdue(attempt, token, now);
             }
         } else if (!call.streaming && call.attempts.size() == number + 1
                 && call.attempts.get(number).result == null
@@ -562,18 +533,6 @@
         }
     }
 
-    /** An attempt has been out for long; what this process has held it up is no fault of its server. */
-    private void strained(Attempt attempt, long token, double now) {
-        double dueAt = attempt.sentAt + actions.heldUp(attempt.call.id, attempt.number)
-                + strainedAfter(attempt.call);
-        if (now < dueAt) {
-            actions.setTimer(token, dueAt);
-        } else {
-            feel(attempt, false, now);
-            attempt.strained = true;
-        }
-    }
-
     // ---- The outcome -------------------------------------------------------------------------------
 
     @Override
@@ -593,12 +552,12 @@
         }
         learn(attempt, outcome, now);
         boolean counted = attempt.streaming && !call.type.streamed();
-        boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
+        boolean inGoodTime = outcome.elapsed() < OverloadSigns.strainedAfter(call);
         // What breaks at once tells of a fault, not of a crowd.
         boolean ended = outcome.result() != Result.CANCELLED && outcome.result() != Result.NOT_SENT;
         if (!counted && ended && (!inGoodTime || outcome.result() == Result.OK
                 || outcome.result() == Result.FULL || outcome.result() == Result.TIMEOUT)) {
-            feel(attempt, outcome.result() == Result.OK && inGoodTime, now);
+            signs.ended(attempt, outcome.result() == Result.OK && inGoodTime, now);
         }
         if (outcome.result() == Result.OK && attempt.number > 0) {
             // It served where another did not: sick servers, not a jam, and worth as many again.
@@ -690,7 +649,7 @@
                 // A large answer: its work is done, and how long it takes is up to its reader.
                 begun.server.out.remove(begun);
                 begun.server.count(call.record.index, true);
-                feel(begun, elapsed < strainedAfter(call), now);
+                signs.ended(begun, elapsed < OverloadSigns.strainedAfter(call), now);
                 ready.touch(begun.server, now);
                 wakeHeldFor(begun.server, now);
             }
@@ -734,19 +693,6 @@
         }
     }
 
-    private static double strainedAfter(Call call) {
-        return (STRAINED + call.type.lateWorth()) * call.type.aim() * Math.max(1, call.size());
-    }
-
-    /** In a crowd all are late: one that is late, while another sent after it was not, tells of a fault. */
-    private void feel(Attempt attempt, boolean fine, double now) {
-        ClassRecord leader = attempt.call.record.leader;
-        if (settings.tier() == 0 && !attempt.strained && (fine || attempt.sentAt >= leader.fineSentAt)) {
-            leader.fineSentAt = fine ? Math.max(leader.fineSentAt, attempt.sentAt) : leader.fineSentAt;
-            LoadShedding.feel(leader, fine, now);
-        }
-    }
-
     private void observeLatency(Attempt attempt, double elapsed) {
         Call call = attempt.call;
         if (actions.heldUp(call.id, attempt.number) > 0) {
