Bound the servers whose warm-up ends in one event

Seen: 3,200 servers that started at one time, as after a zone's return, were all taken from one group to another at the first request after their warm-up (WarmUpEndsTest: 3,200 at one event, where 64 are allowed).

Cause: the loops of ReadyServers.advance over warm-ups, and over the times of owed calls, had no bound, where those over weights have one.

Change: 64 of each at an event, as with the weights; the rest follow at the next ones. Until then such a server counts by its age, which says that it is warm, and only its group is that of cold ones.

Measured: WarmUpEndsTest, ColdFleetTest, ModuleTest and WorkPerEventTest pass.

--- a/src/main/java/cranedeal/ReadyServers.java
+++ b/src/main/java/cranedeal/ReadyServers.java
@@ -33,6 +33,8 @@
     /** Servers weighed anew at a request because their time has come, and because a mean has moved. */
     private static final int REFRESHED_AT_ONCE = 16;
     private static final int REWEIGHED_AT_ONCE = 64;
+    /** Servers whose warm-up or whose time of being owed a call ends that are taken in at a request. */
+    private static final int REGROUPED_AT_ONCE = 64;
     /** Different servers that a draw looks at until it is taken that none can be used. */
     private static final int MOST_REJECTED = 64;
     /** Servers that a draw looks at in all; the last is taken as if it were accepted. */
@@ -209,20 +211,21 @@
     }
 
     /**
-     * Does what time has brought. Of what is to be weighed anew a few are at each event; warm-ups that are
-     * over and calls that begin to be owed are taken in at once, however many end at one time.
+     * Does what time has brought, a few servers of each kind at each event, however many are due at one time:
+     * those to be weighed anew, those whose warm-up is over, and those that begin or end to be owed a call.
      */
     void advance(double now) {
         for (int i = 0; i < REFRESHED_AT_ONCE && !refreshes.isEmpty()
                 && refreshes.peekFirst().refreshAt <= now; i++) {
             refresh(refreshes.pollFirst(), now);
         }
-        while (!warming.isEmpty() && now - warming.first().startedAt >= settings.rules().warmUp()) {
+        for (int i = 0; i < REGROUPED_AT_ONCE && !warming.isEmpty()
+                && now - warming.first().startedAt >= settings.rules().warmUp(); i++) {
             Server server = warming.pollFirst();
             server.placement.endCold(server, now);
             regroup(server, now);
         }
-        while (!owing.isEmpty() && owing.first().owingAt <= now) {
+        for (int i = 0; i < REGROUPED_AT_ONCE && !owing.isEmpty() && owing.first().owingAt <= now; i++) {
             Server server = owing.pollFirst();
             awaitOwing(server, now);
             regroup(server, now);
