Test what a late loop owes: the time told to upstreams, and answers before timers

Two mechanisms of the loop that came in as loops were seen held up had no test that fails without them: that a request's time counts from when it may have come (Frontend, LoopMonitor.lateness), and that a late timer waits for a look at the sockets (Node.setTimer). Both are needed wherever the processor is shared: an upstream may be told at most what is left of the client's time and 0.15 s, and a request must not be refused for want of room that an unread answer has made.

--- a/src/test/java/cranedeal/node/LateLoopTest.java
+++ b/src/test/java/cranedeal/node/LateLoopTest.java
@@ -1,9 +1,13 @@
 package cranedeal.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cranedeal.LoadBalancer;
 import cranedeal.LoadBalancer.Result;
 import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
@@ -16,6 +20,8 @@
     /** More than the loop may need between two lines of one call; it is held until this is over. */
     private static final double TIMEOUT_MS = 1_000;
     private static final int PATIENCE_S = 10;
+    /** By how much an upstream may be told of too much, by the terms. */
+    private static final double TOLD_SLACK_MS = 150;
     /** After that the node looks for answers again. */
     private static final double LOOKED_AT_MS = 50;
 
@@ -121,6 +127,74 @@
         }
     }
 
+    /**
+     * A request lies unread while the loop is busy. Its client's time runs meanwhile, so that much less is
+     * left of it, and an upstream must not be told of more.
+     */
+    @Test
+    void theTimeThatAnUpstreamIsToldLeavesOutWhatARequestHasLainUnread() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            Peer other = stage.caller();
+            for (Peer each : new Peer[] {caller, other}) {
+                each.write(Stage.HEALTH);
+                each.read();
+            }
+            CountDownLatch held = new CountDownLatch(1);
+            stage.script.onRequest = request -> {
+                stage.script.actions.refuse(request.id(), 0);
+                stage.script.onRequest = next -> stage.script.sendTo(0, next, 0);
+                held.countDown();
+                awaitUnread(stage.node.address().getPort(), true);
+                spin(TIMEOUT_MS);
+            };
+            caller.write(Stage.get("1", "10"));
+            held.await();
+            other.write(Stage.get("2", "3"));
+            double told = Double.parseDouble(stage.upstreams.get(0).accept().read().header("X-Remaining"));
+            assertTrue(told * 1_000 <= 3_000 - TIMEOUT_MS + TOLD_SLACK_MS, () -> "told of " + told + " s");
+        }
+    }
+
+    /**
+     * A timer of one request is due while the answer to another lies unread. That answer may be what the
+     * first has waited for, such as room at an upstream; rung first, the timer would have it refused.
+     */
+    @Test
+    void theModuleHearsOfAnswersThatHaveComeBeforeATimerOfAnotherRequest() throws Exception {
+        try (Stage stage = new Stage(2).start()) {
+            LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
+            CountDownLatch held = new CountDownLatch(1);
+            List<LoadBalancer.Request> requests = new CopyOnWriteArrayList<>();
+            stage.script.onRequest = request -> {
+                stage.script.sendTo(requests.size(), request, 0);
+                requests.add(request);
+            };
+            stage.script.onTimer = () -> told.add("timer");
+            stage.script.onOutcome = outcome -> {
+                told.add("outcome " + outcome.requestId());
+                if (held.getCount() > 0) {
+                    LoadBalancer.Request second = requests.get(1);
+                    stage.script.actions.setTimer(1, second.deadline() - PATIENCE_S * 1_000 + TIMEOUT_MS);
+                    held.countDown();
+                    awaitUnread(stage.upstreams.get(0), 2 * TIMEOUT_MS);
+                }
+            };
+            Peer[] upstreams = new Peer[2];
+            for (int i = 0; i < upstreams.length; i++) {
+                stage.caller().write(Stage.get(Integer.toString(i), Integer.toString(PATIENCE_S)));
+                upstreams[i] = stage.upstreams.get(i).accept();
+                upstreams[i].read();
+            }
+            upstreams[1].write(Stage.ok("second"));
+            held.await();
+            upstreams[0].write(Stage.ok("first"));
+            assertEquals("outcome " + requests.get(1).id(), Script.next(told));
+            assertEquals("outcome " + requests.get(0).id(), Script.next(told));
+            assertEquals("timer", Script.next(told));
+        }
+    }
+
     private static void spin(double ms) {
         long start = System.nanoTime();
         while (System.nanoTime() - start < ms * 1e6) {
