Test that an answer is read before its attempt's timer ends it

The look for an answer in UpstreamClient.expire had no test that fails without it: where the loop is busy outside of a look, the sockets come before the timers by themselves. Within a look they don't.

--- a/src/test/java/cranedeal/node/LateLoopTest.java
+++ b/src/test/java/cranedeal/node/LateLoopTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -156,6 +157,41 @@
         }
     }
 
+    /**
+     * The time of an attempt is over while its answer lies unread, and the loop was busy within a look at the
+     * sockets, so that the timer comes before the next look.
+     */
+    @Test
+    void anAnswerThatHasComeIsNoTimeoutWhereTheTimerComesBeforeTheNextLook() throws Exception {
+        try (Stage stage = new Stage(2).start()) {
+            CountDownLatch held = new CountDownLatch(1);
+            AtomicInteger sent = new AtomicInteger();
+            stage.script.onRequest = request -> {
+                int place = sent.getAndIncrement();
+                stage.script.sendTo(place, request, place == 0 ? 2 * TIMEOUT_MS : 0);
+            };
+            stage.script.onOutcome = outcome -> {
+                if (held.getCount() > 0) {
+                    held.countDown();
+                    awaitUnread(stage.upstreams.get(0), 3 * TIMEOUT_MS);
+                }
+            };
+            Peer[] callers = {stage.caller(), stage.caller()};
+            Peer[] upstreams = new Peer[2];
+            for (int i = 0; i < upstreams.length; i++) {
+                callers[i].write(Stage.get(Integer.toString(i), Integer.toString(PATIENCE_S)));
+                upstreams[i] = stage.upstreams.get(i).accept();
+                upstreams[i].read();
+            }
+            upstreams[1].write(Stage.ok("second"));
+            held.await();
+            upstreams[0].write(Stage.ok("first"));
+            assertEquals(Result.OK, stage.script.result());
+            assertEquals(Result.OK, stage.script.result());
+            assertEquals("first", callers[0].read().body());
+        }
+    }
+
     /**
      * A timer of one request is due while the answer to another lies unread. That answer may be what the
      * first has waited for, such as room at an upstream; rung first, the timer would have it refused.
