Ring a request's timer without a read of each of its connections first

A timer that is late by 50 ms waits for a look at all sockets since then (Node.setTimer), which reads the same answers and others'; and the decisions ask how long the process has held an attempt up before they take it for strained. So the read found nothing that mattered, at a system call for each timer of each request.

--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -896,12 +896,6 @@
         return monitor.spare();
     }
 
-    private static void readNow(UpstreamClient.Attempt attempt) {
-        if (attempt != null) {
-            attempt.readNow();
-        }
-    }
-
     private static void cancel(UpstreamClient.Attempt attempt) {
         if (attempt != null) {
             attempt.cancel();
@@ -950,10 +944,6 @@
     }
 
     private void ring(Exchange about, long token) {
-        // What has come by now must not look overdue only because this loop is late.
-        for (int i = 0; about != null && i < about.attempts.size(); i++) {
-            readNow(about.attempts.get(i));
-        }
         tell(about, () -> balancer.timer(clock.now(), token));
     }
 
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -582,7 +582,7 @@
          * Takes its answer if that has come and lies unread: a loop that is late handles timers that are due
          * before it looks at its sockets again, and its own lateness is not the upstream's.
          */
-        void readNow() {
+        private void readNow() {
             if (!over && written && download == null) {
                 Sockets.readNow(channel);
             }
