Test that a slow discovery is waited for, and that unread answers are no upstream's time

WatchPlan.LATE_MS and the lateness that Node.elapsed takes off had no test that fails without them. Both stay: discovery works through its calls in turn and may be crowded, and a processor that is shared is late.

--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -24,6 +24,7 @@
     /** What discovery wrote counts as told after this time, whether it arrived or not. */
     private static final int COUNTS_AS_TOLD_MS = 6_000;
     private static final int TO_SPARE_MS = 500;
+    private static final int CROWDED_MS = 1_000;
 
     private final Stage stage = new Stage();
 
@@ -54,6 +55,19 @@
         }
     }
 
+    /** Discovery works through its calls in turn, and in a crowd answers some time after the wait is over. */
+    @Test
+    void aWatchThatIsAnsweredASecondAfterItsWaitIsNotGivenUp() throws Exception {
+        try (stage) {
+            started();
+            Peer watch = stage.discovery.accept();
+            watch.read();
+            Thread.sleep(WatchPlan.WATCH_MS + CROWDED_MS);
+            watch.write(Stage.ok(Stage.roster(45, false, Stage.entry(0, "127.0.0.1:1", "draining"))));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {
         "",
--- a/src/test/java/cranedeal/node/LateLoopTest.java
+++ b/src/test/java/cranedeal/node/LateLoopTest.java
@@ -238,6 +238,24 @@
         }
     }
 
+    /** An answer lies unread while the loop is busy: that is no time of its upstream's. */
+    @Test
+    void whatAnAnswerHasLainUnreadIsNoTimeOfItsUpstream() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            Peer upstream = keptConnection(stage, caller);
+            stage.script.onRequest = request -> {
+                stage.script.sendTo(0, request, 0);
+                awaitUnread(stage.upstreams.get(0), TIMEOUT_MS);
+            };
+            caller.write(Stage.get("2", "10"));
+            upstream.read();
+            upstream.write(Stage.ok("second"));
+            double elapsed = Script.next(stage.script.outcomes).elapsed();
+            assertTrue(elapsed < TIMEOUT_MS / 2, () -> elapsed + " ms");
+        }
+    }
+
     /** Brings it about that a request is out before the call that sends it returns. */
     private static Peer keptConnection(Stage stage, Peer caller) throws Exception {
         caller.write(Stage.get("1", "10"));
