Test the loop's monitor in virtual time, and that a list that comes in is waited for

LoopMonitor is given its clock, so that LoopMonitorTest can say what it sees: a busy loop, one that waits, and a process that was stopped while it waited. The patience with a list that is coming in (Discovery.Call.expire) had no test that fails without it; it stays for large lists.

Measured: without the extensions the call is broken off (Broken pipe); without the time of the next timer, a stop of 505 ms counts as 0. With both, LoopMonitorTest and DiscoveryTest pass.

--- a/src/main/java/cranedeal/node/LoopMonitor.java
+++ b/src/main/java/cranedeal/node/LoopMonitor.java
@@ -6,6 +6,7 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 /**
  * Measures how far the node's loop is behind: it stands around the part of the loop that waits for sockets
@@ -23,7 +24,7 @@
     private static final double NANOS_PER_MS = 1e6;
 
     private final IoHandler handler;
-    private final Clock clock;
+    private final DoubleSupplier clock;
     /** Whether a look is under way. */
     private boolean looking;
     /** When the present look found the first of what it reads; NaN before. */
@@ -38,15 +39,15 @@
     private double longestBusy;
     private double spare;
 
-    private LoopMonitor(IoHandler handler, Clock clock) {
+    private LoopMonitor(IoHandler handler, DoubleSupplier clock) {
         this.handler = handler;
         this.clock = clock;
-        lookAt = clock.now();
+        lookAt = clock.getAsDouble();
         lookedAt = lookAt;
     }
 
-    /** Makes the handlers of another factory with a monitor around each, and tells of that. */
-    static IoHandlerFactory around(IoHandlerFactory factory, Clock clock,
+    /** Makes another factory's handlers with a monitor around each, and tells of that; times are in ms. */
+    static IoHandlerFactory around(IoHandlerFactory factory, DoubleSupplier clock,
             Consumer<LoopMonitor> made) {
         return executor -> {
             LoopMonitor monitor = new LoopMonitor(factory.newHandler(executor), clock);
@@ -57,7 +58,7 @@
 
     /** How long something that is read now has lain unread, in ms; 0 while the loop is not late. */
     double lateness() {
-        double delay = clock.now() - unreadSince();
+        double delay = clock.getAsDouble() - unreadSince();
         return delay > LATE_MS ? delay : 0;
     }
 
@@ -67,7 +68,7 @@
             return lookedAt;
         }
         if (Double.isNaN(foundAt)) {
-            foundAt = clock.now();
+            foundAt = clock.getAsDouble();
         }
         boolean waited = !immediate && foundAt - lookAt >= WAITED_MS;
         return waited ? Math.min(foundAt, wakeAt) : lookedAt;
@@ -87,7 +88,7 @@
 
     @Override
     public int run(IoHandlerContext context) {
-        lookAt = clock.now();
+        lookAt = clock.getAsDouble();
         longestBusy = Math.max(longestBusy, lookAt - lookedAt);
         immediate = !context.canBlock();
         wakeAt = immediate ? lookAt : lookAt + ROUNDING_MS + mostWaitMs(context);
@@ -95,7 +96,7 @@
         looking = true;
         int handled = handler.run(context);
         looking = false;
-        double found = Double.isNaN(foundAt) ? clock.now() : foundAt;
+        double found = Double.isNaN(foundAt) ? clock.getAsDouble() : foundAt;
         lookedAt = immediate ? lookAt : Math.min(found, wakeAt);
         spare += lookedAt - lookAt;
         return handled;
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -170,8 +170,8 @@
         Clock clock = new Clock();
         LoopMonitor[] monitor = new LoopMonitor[1];
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("node", true), LoopMonitor.around(NioIoHandler.newFactory(), clock,
-                        made -> monitor[0] = made)).next();
+                new DefaultThreadFactory("node", true), LoopMonitor.around(NioIoHandler.newFactory(),
+                        clock::now, made -> monitor[0] = made)).next();
         Succession succession = folder == null || config.admin() == null ? null : join(folder);
         OrderBook book = config.stateDir() == null ? null : Fleet.ordersIn(config.stateDir(), folder);
         Node node = new Node(config, loop, clock, monitor[0], succession, folder, book,
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,6 +26,9 @@
     private static final int COUNTS_AS_TOLD_MS = 6_000;
     private static final int TO_SPARE_MS = 500;
     private static final int CROWDED_MS = 1_000;
+    private static final int LONG_LIST_MS = 500;
+    /** Lists may come indented: more than are written, one a ms, until the end. */
+    private static final int BLANKS = 8_000;
 
     private final Stage stage = new Stage();
 
@@ -68,6 +72,29 @@
         }
     }
 
+    /** A long list comes in for longer than a call is waited for; while parts of it come, that goes on. */
+    @Test
+    void aListThatIsComingInIsWaitedForBeyondItsTime() throws Exception {
+        try (stage) {
+            started();
+            Peer watch = stage.discovery.accept();
+            watch.read();
+            long longer = WatchPlan.WATCH_MS + WatchPlan.LATE_MS + LONG_LIST_MS;
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longer);
+            String list = Stage.ok(" ".repeat(BLANKS) + Stage.roster(45, false,
+                    Stage.entry(0, "127.0.0.1:1", "draining")));
+            int blank = list.indexOf("\r\n\r\n") + 4;
+            watch.write(list.substring(0, blank));
+            int written = blank;
+            for (; System.nanoTime() < end && written < blank + BLANKS; written++) {
+                watch.write(" ");
+                Thread.sleep(1);
+            }
+            watch.write(list.substring(written));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {
         "",
--- /dev/null
+++ b/src/test/java/cranedeal/node/LoopMonitorTest.java
@@ -0,0 +1,105 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoRegistration;
+import org.junit.jupiter.api.Test;
+
+/** How late a loop is, and how much spare time it has, in virtual time. */
+class LoopMonitorTest {
+
+    private static final double EXACT = 2;
+
+    private double now = 1_000;
+    private double nextTimerMs = 5;
+    private boolean canBlock = true;
+    private LoopMonitor monitor;
+    /** What happens while the loop waits for its sockets, and what it does with what it found. */
+    private Runnable wait = () -> { };
+    private Runnable read = () -> { };
+
+    LoopMonitorTest() {
+        LoopMonitor.around(executor -> new Waiting(), () -> now, made -> monitor = made).newHandler(null);
+    }
+
+    private final class Waiting implements IoHandler {
+        @Override
+        public int run(IoHandlerContext context) {
+            wait.run();
+            read.run();
+            return 1;
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void wakeup() { }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> type) {
+            return true;
+        }
+    }
+
+    private final class Context implements IoHandlerContext {
+        @Override
+        public boolean canBlock() {
+            return canBlock;
+        }
+
+        @Override
+        public long delayNanos(long currentTimeNanos) {
+            return (long) (nextTimerMs * 1e6);
+        }
+
+        @Override
+        public long deadlineNanos() {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    private void look() {
+        monitor.run(new Context());
+    }
+
+    @Test
+    void whatComesWhileTheLoopWaitsIsReadAtOnce() {
+        wait = () -> now += 4;
+        read = () -> assertEquals(0, monitor.lateness());
+        look();
+        assertEquals(4, monitor.spare(), EXACT);
+    }
+
+    @Test
+    void whatComesWhileTheLoopIsBusyHasWaited() {
+        look();
+        now += 200;
+        canBlock = false;
+        read = () -> assertEquals(200, monitor.lateness(), EXACT);
+        look();
+        assertEquals(0, monitor.spare(), EXACT);
+        assertEquals(200, monitor.takeLongestBusy(), EXACT);
+    }
+
+    /** The process is stopped while it waits: it wakes long after its next timer was due. */
+    @Test
+    void whatComesWhileTheProcessIsStoppedHasWaited() {
+        wait = () -> now += 505;
+        read = () -> assertEquals(500, monitor.lateness(), EXACT);
+        look();
+        assertEquals(5, monitor.spare(), EXACT);
+    }
+
+    @Test
+    void aTimerCountsWhatHasComeSinceTheLastLookAsUnread() {
+        look();
+        now += 120;
+        assertEquals(120, monitor.lateness(), EXACT);
+    }
+}
