Test that a change that has come is read before its call is given up

The look in Discovery.Call.expire had no test that fails without it. Measured: without it the call ends as FAILED though the change has lain in the kernel for four seconds; with it DiscoveryTest passes.

--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -95,6 +96,35 @@
         }
     }
 
+    /** A change lies unread while the loop is busy within a look, until the time of its call is over. */
+    @Test
+    void aChangeThatHasComeIsReadBeforeItsCallIsGivenUp() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        stage.script.onOutcome = outcome -> {
+            held.countDown();
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        };
+        try (stage) {
+            started();
+            Peer watch = stage.discovery.accept();
+            watch.read();
+            stage.caller().write(Stage.get("1", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(Stage.ok("served"));
+            held.await();
+            watch.write(Stage.ok(Stage.roster(45, false, Stage.entry(0, "127.0.0.1:1", "draining"))));
+            Thread.sleep(WatchPlan.WATCH_MS + WatchPlan.LATE_MS);
+            release.countDown();
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {
         "",
