Reserve up to half of a class's aim for a send, not half of what a request has left

Cause: bounded what has to be left for a send by half of the request's own useful time, so that one with next to no time was sent too, however long calls take.

Change: the bound is half of the class's aim.

Measured: WireHostTest, SlowEstimateTest, ModuleTest, OwnOverloadTest and RandomEventsTest pass.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -52,7 +52,7 @@
     private static final double EXTRA_SAVED = 3;
     /** Least share of the expected latency that must be left for a send to make sense. */
     private static final double TOO_LATE = 0.25;
-    /** The most of its useful time that must be left for it. */
+    /** The most of its aim that must be left for it. */
     private static final double MOST_RESERVED = 0.5;
     /** Share of the allowed multiple of a cold server's capacity that its send budget uses. */
     private static final double COLD_MARGIN = 0.3;
@@ -287,10 +287,10 @@
 
     /**
      * The time that must be left for a send to make sense. However long calls are expected to take, one that
-     * has just come is tried: where none is, nothing would ever show that they take less.
+     * has all of its aim left is tried: where none is, nothing would ever show that they take less.
      */
     private static double reserved(Call call) {
-        return Math.min(TOO_LATE * call.expected(), MOST_RESERVED * (call.usefulEnd - call.arrivedAt));
+        return Math.min(TOO_LATE * call.expected(), MOST_RESERVED * call.type.aim());
     }
 
     /**
