Log each call to discovery, and tell the age of the list in use

Each call now leaves a line with its number, index, wait, bytes, time and end, each change of version one; at most 30 lines in 10 s, and how many were left out. The figures have the age of the list, the longest since the start, a line that is 1 while the list is older than 6 s, the calls that are out, and how calls ended. No behaviour changes. FiguresTest counts 72 figures, 59 before.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -1,6 +1,9 @@
 package cranedeal.node;
 
 import cranedeal.LoadBalancer.Change;
+import cranedeal.node.discovery.CallEnd;
+import cranedeal.node.discovery.CallRecord;
+import cranedeal.node.discovery.DiscoveryFigures;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufInputStream;
@@ -17,6 +20,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -57,7 +61,10 @@
     private final Listener listener;
     private final WatchPlan plan;
     private final Bootstrap bootstrap;
+    private final Clock clock = new Clock();
+    private final DiscoveryFigures figures;
     private InetSocketAddress address;
+    private long lastId;
     private long version;
     private boolean watching;
     /** Whether the list is to come on its own, as the settings have it; nobody hears of failures then. */
@@ -74,6 +81,7 @@
         plan = new WatchPlan(watchMillis);
         address = config.discovery();
         version = config.known().version();
+        figures = new DiscoveryFigures(clock::now, version, Node.LOG::info);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -86,6 +94,11 @@
                 });
     }
 
+    /** What is counted of the calls, and the age of the list. */
+    DiscoveryFigures figures() {
+        return figures;
+    }
+
     /** Keeps the watch open where settings have lists pushed, or leaves that to whoever asks. */
     void push(boolean on) {
         if (on != pushed) {
@@ -100,7 +113,7 @@
         if (on && watch == null) {
             watchOn();
         } else if (!on && watch != null) {
-            watch.abandon();
+            watch.abandon(CallEnd.STOPPED);
             watch = null;
         }
     }
@@ -122,7 +135,7 @@
             kept = null;
         }
         if (watch != null) {
-            watch.abandon();
+            watch.abandon(CallEnd.STOPPED);
         }
         if (watching) {
             watchOn();
@@ -130,8 +143,7 @@
     }
 
     private void watchOn() {
-        watch = new Call("?index=" + version + "&wait=" + plan.waitMillis(), plan.patienceMillis(),
-                this::watched);
+        watch = new Call(version, plan.waitMillis(), plan.patienceMillis(), this::watched);
         watch.start(kept);
     }
 
@@ -165,7 +177,7 @@
 
     /** Asks once for the whole list. */
     void fetch() {
-        new Call("", CONNECT_TIMEOUT_MS + WatchPlan.LATE_MS, this::fetched).start(null);
+        new Call(-1, 0, CONNECT_TIMEOUT_MS + WatchPlan.LATE_MS, this::fetched).start(null);
     }
 
     private void fetched(Roster roster) {
@@ -191,7 +203,10 @@
     /** One call; its end is reported once, with null for a failure. */
     private final class Call {
 
-        private final String query;
+        private final long id = ++lastId;
+        private final long index;
+        private final int waitMillis;
+        private final double sentAt = clock.now();
         private final Consumer<Roster> end;
         private Future<?> expiry;
         private int extensions;
@@ -200,9 +215,12 @@
         /** Whether it was asked and nothing has come in its time. */
         private boolean silent;
 
-        Call(String query, long patience, Consumer<Roster> end) {
-            this.query = query;
+        /** A call from a version on; one for the whole list where that is negative. */
+        Call(long index, int waitMillis, long patience, Consumer<Roster> end) {
+            this.index = index;
+            this.waitMillis = waitMillis;
             this.end = end;
+            figures.begun();
             expiry = loop.schedule(this::expire, patience, TimeUnit.MILLISECONDS);
         }
 
@@ -214,7 +232,7 @@
             }
             ChannelFuture connect = Sockets.connect(bootstrap, address);
             if (connect == null) {
-                loop.execute(this::fail);
+                loop.execute(() -> fail(CallEnd.NOT_CONNECTED));
                 return;
             }
             connect.addListener((ChannelFuture up) -> {
@@ -224,7 +242,7 @@
                 } else if (up.isSuccess()) {
                     ask(channel);
                 } else {
-                    fail();
+                    fail(CallEnd.NOT_CONNECTED);
                 }
             });
         }
@@ -232,25 +250,32 @@
         private void ask(Channel connection) {
             channel = connection;
             channel.pipeline().get(Answers.class).asked = this;
-            channel.pipeline().get(Progress.class).seen = false;
+            channel.pipeline().get(Progress.class).start();
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/catalog/members" + query, Unpooled.EMPTY_BUFFER);
+                    "/catalog/members" + (index < 0 ? "" : "?index=" + index + "&wait=" + waitMillis), Unpooled.EMPTY_BUFFER);
             request.headers().set("Host", address.getHostString());
             channel.writeAndFlush(request).addListener(write -> {
                 if (!write.isSuccess()) {
-                    fail();
+                    fail(CallEnd.BROKEN);
                 }
             });
         }
 
-        private void abandon() {
-            over = true;
-            expiry.cancel(false);
+        private void abandon(CallEnd why) {
+            over(why);
             if (channel != null) {
                 channel.close();
             }
         }
 
+        private void over(CallEnd how) {
+            over = true;
+            expiry.cancel(false);
+            Progress progress = channel == null ? null : channel.pipeline().get(Progress.class);
+            figures.ended(new CallRecord(id, index, waitMillis, progress == null ? 0 : progress.bytes,
+                    clock.now() - sentAt, how));
+        }
+
         /**
          * Its time is over. A loop that is late handles timers before it looks at its sockets, so what has
          * come is read first; and a long list that is still coming in is worth more than to ask for it again.
@@ -270,12 +295,12 @@
                 return;
             }
             silent = channel != null && channel.isActive();
-            fail();
+            fail(CallEnd.TIMED_OUT);
         }
 
-        private void fail() {
+        private void fail(CallEnd how) {
             if (!over) {
-                abandon();
+                abandon(how);
                 end.accept(null);
             }
         }
@@ -289,11 +314,13 @@
                 roster = read(response);
             } catch (IOException | IllegalArgumentException e) {
                 Node.LOG.warning("discovery's answer is of no use: " + e.getMessage());
-                fail();
+                fail(CallEnd.BAD_ANSWER);
                 return;
             }
-            over = true;
-            expiry.cancel(false);
+            over(CallEnd.ANSWERED);
+            // Without news discovery has waited to the end, and the list was the newest until then.
+            boolean waited = roster.members().isEmpty() && clock.now() >= sentAt + waitMillis;
+            figures.confirmed(roster.version(), waited ? sentAt + waitMillis : sentAt);
             end.accept(roster);
         }
 
@@ -311,10 +338,20 @@
     private static final class Progress extends ChannelInboundHandlerAdapter {
 
         private boolean seen;
+        private long bytes;
+
+        /** Another answer is waited for. */
+        void start() {
+            seen = false;
+            bytes = 0;
+        }
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object part) {
             seen = true;
+            if (part instanceof HttpContent content) {
+                bytes += content.content().readableBytes();
+            }
             ctx.fireChannelRead(part);
         }
     }
@@ -338,7 +375,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (asked != null) {
-                asked.fail();
+                asked.fail(CallEnd.BROKEN);
             }
             ctx.fireChannelInactive();
         }
@@ -349,7 +386,7 @@
                 Node.LOG.log(Level.WARNING, "the connection to discovery failed", cause);
             }
             if (asked != null) {
-                asked.fail();
+                asked.fail(CallEnd.BROKEN);
             }
             ctx.close();
         }
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -312,7 +312,7 @@
     @Override
     public String stats() {
         Presence member = presence;
-        return figures.text() + (member == null ? "" : Figures.text(member.figures()));
+        return figures.text() + Figures.text(discovery.figures().values()) + (member == null ? "" : Figures.text(member.figures()));
     }
 
     /** Sends callers away as SIGTERM does, but goes on: {@link #stopDrain} undoes it. */
--- a/src/test/java/cranedeal/LayersTest.java
+++ b/src/test/java/cranedeal/LayersTest.java
@@ -21,7 +21,7 @@
             .withOptionalLayers(true)
             .layer("decisions").definedBy("cranedeal")
             .layer("wire").definedBy("cranedeal.wire")
-            .layer("node").definedBy("cranedeal.node")
+            .layer("node").definedBy("cranedeal.node..")
             .layer("store").definedBy(FLEET + "store")
             .layer("membership").definedBy(FLEET + "membership")
             .layer("config").definedBy(FLEET + "config")
@@ -44,7 +44,7 @@
 
     @ArchTest
     static final ArchRule ONE_SEAM = noClasses().that().resideInAnyPackage("cranedeal", "cranedeal.wire",
-                    "cranedeal.node").and().haveNameNotMatching("cranedeal\\.node\\.Fleet.*")
+                    "cranedeal.node..").and().haveNameNotMatching("cranedeal\\.node\\.Fleet.*")
             .should().dependOnClassesThat(resideInAPackage("cranedeal.fleet.."));
 
     @ArchTest
--- a/src/test/java/cranedeal/node/FiguresTest.java
+++ b/src/test/java/cranedeal/node/FiguresTest.java
@@ -43,7 +43,10 @@
                 assertEquals(0, figures.get("edge_proxy." + name), name);
             }
             assertEquals(3, figures.get("edge_proxy.targets"));
-            assertEquals(59, figures.size());
+            for (String name : new String[] {"list_stale", "discovery_answered", "discovery_broken"}) {
+                assertEquals(0, figures.get("edge_proxy." + name), name);
+            }
+            assertEquals(72, figures.size());
         }
     }
 
