Reproduce requests to servers that have left while discovery is slow or breaks off

DrainTrial starts real balancers with the flags of service before upstreams of which half leave the list in one change and go on answering; discovery's stand-in works through calls in turn, and answers late, halfway, without an end, or not at all.

--- a/src/main/java/cranedeal/lab/slope/DataPathStage.java
+++ b/src/main/java/cranedeal/lab/slope/DataPathStage.java
@@ -164,7 +164,7 @@
      * A port that nobody holds now, from below those that the kernel deals out by itself: a connection of
      * somebody else can't have taken it by the time it is bound.
      */
-    private static InetSocketAddress free() throws IOException {
+    static InetSocketAddress free() throws IOException {
         for (int i = 0; i < PORT_TRIES; i++) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_OF_PORTS);
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(ADDRESS))) {
--- /dev/null
+++ b/src/main/java/cranedeal/lab/slope/DrainCommand.java
@@ -0,0 +1,87 @@
+package cranedeal.lab.slope;
+
+import cranedeal.fleet.command.CommandException;
+import cranedeal.fleet.command.Program;
+import cranedeal.lab.LabCommand.ProgramUnderTest;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** How long requests go to upstreams that have left the list, while discovery is in trouble. */
+@Command(name = "drain", mixinStandardHelpOptions = true,
+        description = "How long upstreams that have left are used, by what is wrong with discovery. "
+                + "Exit code 1 if a request came more than 8,050 ms after the change.")
+final class DrainCommand implements Callable<Integer> {
+
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--trouble", required = true, split = ",", paramLabel = "TROUBLE",
+            description = "What is wrong with discovery: " + DiscoveryTrouble.FORMS + ".")
+    private List<String> troubles;
+    @Option(names = "--upstreams", defaultValue = "3200", paramLabel = "N",
+            description = "How many upstreams there are; default ${DEFAULT-VALUE}.")
+    private int upstreams;
+    @Option(names = "--balancers", defaultValue = "1", paramLabel = "N",
+            description = "How many balancers there are; default ${DEFAULT-VALUE}.")
+    private int balancers;
+    @Option(names = "--rate", defaultValue = "200", paramLabel = "N",
+            description = "Requests a second in all; default ${DEFAULT-VALUE}.")
+    private double rate;
+    @Option(names = "--seconds", defaultValue = "14",
+            description = "How long requests go on after the change; default ${DEFAULT-VALUE}.")
+    private double seconds;
+    @Option(names = "--plays", defaultValue = "1", paramLabel = "N",
+            description = "Plays of each trouble, by seeds 1 to N; default ${DEFAULT-VALUE}.")
+    private int plays;
+    @Option(names = "--calls", description = "Prints the balancers' lines on discovery too.")
+    private boolean calls;
+    @Mixin
+    private ProgramUnderTest program;
+
+    @Override
+    public Integer call() throws CommandException, InterruptedException {
+        if (upstreams < 2 || balancers < 1 || !(rate > 0) || !(seconds > 0) || plays < 1) {
+            throw new CommandException(Program.WRONG_USE, "numbers above 0 and two upstreams are wanted");
+        }
+        boolean held = true;
+        for (String name : troubles) {
+            DiscoveryTrouble trouble = parse(name);
+            for (int seed = 1; seed <= plays; seed++) {
+                held &= play(name, new DrainTrial.Plan(upstreams, balancers, rate, seconds, trouble, seed));
+            }
+        }
+        return held ? 0 : 1;
+    }
+
+    private static DiscoveryTrouble parse(String name) throws CommandException {
+        try {
+            return DiscoveryTrouble.parse(name);
+        } catch (IllegalArgumentException e) {
+            throw new CommandException(Program.WRONG_USE, "--trouble: " + e.getMessage());
+        }
+    }
+
+    private boolean play(String name, DrainTrial.Plan plan) throws CommandException, InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        try (DrainTrial trial = new DrainTrial(program.command(), plan)) {
+            DrainTrial.Seen seen = trial.play();
+            out.printf(Locale.ROOT, "%s upstreams=%d balancers=%d seed=%d last=%.0f ms late=%d served=%d of %d "
+                    + "lists=%d KB%n", name, plan.upstreams(), plan.balancers(), plan.seed(), seen.lastMs(),
+                    seen.late(), seen.requests().served(), seen.requests().calls(), seen.listBytes() / 1024);
+            for (int i = 0; calls && i < plan.balancers(); i++) {
+                trial.log(i).lines().filter(line -> line.contains("discovery")).forEach(out::println);
+            }
+            out.flush();
+            return seen.late() == 0;
+        } catch (IOException e) {
+            throw new CommandException(1, e.getMessage());
+        }
+    }
+}
--- a/src/main/java/cranedeal/lab/standin/DiscoveryServer.java
+++ b/src/main/java/cranedeal/lab/standin/DiscoveryServer.java
@@ -7,12 +7,16 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -24,7 +28,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -41,13 +48,15 @@
 
     private static final JsonMapper JSON = new JsonMapper();
     private static final int LARGEST = 16 * 1024;
-    private static final double LONGEST_TURN_MS = 1_000;
+    private static final long PIECE_MS = 100;
     private static final long LONGEST_WATCH_MS = 60_000;
     private static final double NANOS_PER_MS = 1e6;
 
     private final EventLoop loop;
     private final LabClock clock;
-    private final double callMs;
+    private DiscoveryPace pace;
+    /** What goes wrong with the next answers, in turn. */
+    private final Deque<AnswerFault> faults = new ArrayDeque<>();
     private final Map<InetAddress, Integer> askers;
     private final Map<Integer, String> names;
     private final BiFunction<Integer, Integer, InetSocketAddress> links;
@@ -72,7 +81,7 @@
             Consumer<Event> history) {
         this.loop = loop;
         this.clock = clock;
-        this.callMs = callMs;
+        pace = DiscoveryPace.ofCalls(callMs);
         this.askers = Map.copyOf(askers);
         this.names = Map.copyOf(names);
         this.links = links;
@@ -111,9 +120,28 @@
         return change(id, entry -> entry.startedAt(unixMs));
     }
 
+    /** Takes upstreams off the list, all in one change. */
+    public Future<?> remove(Collection<String> ids) {
+        return change(ids, entry -> entry.in("removed"));
+    }
+
+    /** Works at another pace from now on. */
+    public Future<?> setPace(DiscoveryPace changed) {
+        return loop.submit(() -> pace = changed);
+    }
+
+    /** Has the next answers go wrong, in turn. */
+    public Future<?> addFaults(Collection<AnswerFault> next) {
+        return loop.submit(() -> faults.addAll(next));
+    }
+
     private Future<?> change(String id, UnaryOperator<Catalog.Entry> to) {
+        return change(List.of(id), to);
+    }
+
+    private Future<?> change(Collection<String> ids, UnaryOperator<Catalog.Entry> to) {
         return loop.submit(() -> {
-            catalog.put(to.apply(catalog.get(id)));
+            ids.forEach(id -> catalog.put(to.apply(catalog.get(id))));
             List<Watch> waiting = List.copyOf(watches);
             watches.clear();
             waiting.forEach(watch -> answerChanges(watch.from(), watch.asker(), watch.index()));
@@ -173,7 +201,50 @@
                 Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
         response.headers().set("Content-Type", "application/json")
                 .set("Content-Length", response.content().readableBytes());
-        to.writeAndFlush(response);
+        AnswerFault fault = faults.poll();
+        double delayMs = pace.answerMs() + (fault == null ? 0 : fault.afterMs());
+        if (delayMs == 0) {
+            write(to, response, fault);
+        } else {
+            loop.schedule(() -> write(to, response, fault), (long) (delayMs * NANOS_PER_MS),
+                    TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void write(ChannelHandlerContext to, DefaultFullHttpResponse response, AnswerFault fault) {
+        if (fault == null) {
+            to.writeAndFlush(response);
+            return;
+        }
+        int half = response.content().readableBytes() / 2;
+        switch (fault.kind()) {
+            case SILENT -> response.release();
+            case HALF -> writePart(to, response, half);
+            case ENDLESS -> {
+                writePart(to, response, 1);
+                writePieces(to, half);
+            }
+            case CUT -> writePart(to, response, half).addListener(written -> {
+                to.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                to.close();
+            });
+        }
+    }
+
+    /** Writes the head and the first bytes of an answer. */
+    private static ChannelFuture writePart(ChannelHandlerContext to, DefaultFullHttpResponse response,
+            int bytes) {
+        DefaultHttpResponse head = new DefaultHttpResponse(response.protocolVersion(), response.status(),
+                response.headers());
+        to.write(head);
+        return to.writeAndFlush(new DefaultHttpContent(response.content().readSlice(bytes)));
+    }
+
+    private void writePieces(ChannelHandlerContext to, int left) {
+        if (left > 0 && to.channel().isActive()) {
+            to.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[] {' '})));
+            loop.schedule(() -> writePieces(to, left - 1), PIECE_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** The calls of one connection. */
@@ -188,11 +259,11 @@
                 return;
             }
             double now = clock.now();
-            if (busyUntil > now + LONGEST_TURN_MS) {
+            if (busyUntil > now + pace.longestTurnMs()) {
                 answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "{}");
                 return;
             }
-            busyUntil = Math.max(busyUntil, now) + callMs;
+            busyUntil = Math.max(busyUntil, now) + pace.callMs();
             String index = uri.parameters().getOrDefault("index", List.of("")).get(0);
             long wait = Long.parseLong(uri.parameters().getOrDefault("wait", List.of("0")).get(0));
             loop.schedule(() -> serve(ctx, asker, index, Math.min(wait, LONGEST_WATCH_MS)),
--- /dev/null
+++ b/src/test/java/cranedeal/lab/slope/DrainTest.java
@@ -0,0 +1,33 @@
+package cranedeal.lab.slope;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cranedeal.lab.LabCommand.ProgramUnderTest;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Real balancers do not use upstreams that have left the list for longer than the terms allow. */
+@Timeout(180)
+class DrainTest {
+
+    private static final double RATE = 100;
+    private static final double AFTER_S = 10;
+
+    private static DrainTrial.Seen play(int upstreams, int balancers, String trouble) throws Exception {
+        try (DrainTrial trial = new DrainTrial(new ProgramUnderTest().command(), new DrainTrial.Plan(upstreams,
+                balancers, RATE, AFTER_S, DiscoveryTrouble.parse(trouble), 1))) {
+            return trial.play();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3200,1,slow:2200", "200,1,slow:5000", "3200,4,turn:900", "200,1,endless:3", "200,1,cut:8:100"})
+    void aSlowOrBrokenDiscoveryKeepsNoUpstreamInUseAfterItHasLeft(int upstreams, int balancers,
+            String trouble) throws Exception {
+        DrainTrial.Seen seen = play(upstreams, balancers, trouble);
+        assertTrue(seen.requests().served() > 0, seen::toString);
+        assertEquals(0, seen.late(), () -> "last after " + seen.lastMs() + " ms");
+    }
+}
