Keep calls to a slow discovery, and bound the age of the list by further calls

Cause: each call to discovery had a time limit of its own, 4 s, or 1.75 s after a failed one, was given up then, and was asked anew from the start. A discovery that takes longer for one answer is never heard; one that works through calls in turn spends its time on those that nobody waits for any more, so that several processes starve one another.

Change: WatchSchedule, a core without sockets and clocks, keeps a call for as long as its connection stands. A further call, three at most, goes out beside it once the answer is late by what answers have been seen to take, and early enough for its own answer; the first of those out is given up only once a later one is answered, so that some answer is always heard; the newest version wins. First retries come after 50 to 100 ms and back off to 0.8 s. Change.FAILED with a null list is a typed result between Discovery and Node, and the watch no longer depends on the module's timer.

WatchScheduleTest draws troubles by seed in virtual time.

--- a/src/main/java/cranedeal/lab/slope/DiscoveryTrouble.java
+++ b/src/main/java/cranedeal/lab/slope/DiscoveryTrouble.java
@@ -19,7 +19,8 @@
     /** What the command line takes, for its help and its errors. */
     static final String FORMS = "none, slow:MS, turn:MS, or silent, half, endless, cut:TIMES[:MS]";
     private static final Pattern SLOW = Pattern.compile("(slow|turn):(\\d{1,6})");
-    private static final Pattern FAULT = Pattern.compile("(silent|half|endless|cut):(\\d{1,3})(?::(\\d{1,6}))?");
+    private static final Pattern FAULT = Pattern.compile(
+            "(silent|half|endless|cut):(\\d{1,3})(?::(\\d{1,6}))?");
 
     /** Reads {@link #FORMS}; throws {@link IllegalArgumentException} for anything else. */
     static DiscoveryTrouble parse(String text) {
--- a/src/main/java/cranedeal/node/DiscoveryWatch.java
+++ b/src/main/java/cranedeal/node/DiscoveryWatch.java
@@ -1,5 +1,6 @@
 package cranedeal.node;
 
+import cranedeal.node.discovery.CallEnd;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -34,11 +35,18 @@
         } catch (ConfigException e) {
             throw new IOException(e.getMessage(), e);
         }
-        Discovery client = new Discovery(loop, read, UnpooledByteBufAllocator.DEFAULT, (change, roster) -> {
-            if (roster != null) {
-                told.accept(roster.version());
-            }
-        }, WatchPlan.WATCH_MS);
+        Discovery client = new Discovery(loop, read, UnpooledByteBufAllocator.DEFAULT,
+                new Discovery.Listener() {
+                    @Override
+                    public void changed(Roster list) {
+                        told.accept(list.version());
+                    }
+
+                    @Override
+                    public void callFailed(CallEnd how) {
+                        // The watch goes on by itself.
+                    }
+                }, Discovery.LONGEST_WAIT_MS);
         loop.execute(() -> client.push(true));
         return new DiscoveryWatch(loop, client);
     }
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -10,6 +10,7 @@
 import cranedeal.LoadBalancer.Result;
 import cranedeal.LoadBalancer.ServiceClass;
 import cranedeal.LoadBalancer.Upstream;
+import cranedeal.node.discovery.CallEnd;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.buffer.Unpooled;
@@ -149,7 +150,7 @@
         balancer = module.apply(this);
         upstreams = new UpstreamClient(loop, clock, monitor::lateness, config.settings(), sockets, figures,
                 memory);
-        discovery = new Discovery(loop, config, memory, this::told, WatchPlan.WATCH_MS);
+        discovery = new Discovery(loop, config, memory, new ListUpdates(), Discovery.LONGEST_WAIT_MS);
         frontend = new Frontend(loop, config, sockets, memory, this, figures, monitor, clock);
         figures.show(config.classes());
         door = config.admin() == null ? null : new Door(this, loop);
@@ -312,7 +313,8 @@
     @Override
     public String stats() {
         Presence member = presence;
-        return figures.text() + Figures.text(discovery.figures().values()) + (member == null ? "" : Figures.text(member.figures()));
+        return figures.text() + Figures.text(discovery.figures().values())
+                + (member == null ? "" : Figures.text(member.figures()));
     }
 
     /** Sends callers away as SIGTERM does, but goes on: {@link #stopDrain} undoes it. */
@@ -646,17 +648,23 @@
         leave(exchange);
     }
 
-    private void told(Change change, Roster roster) {
-        double arrivedAt = clock.now();
-        List<Upstream> entries = roster == null ? List.of() : entries(roster);
-        if (roster != null) {
+    /** Passes on what discovery tells. */
+    private final class ListUpdates implements Discovery.Listener {
+
+        @Override
+        public void changed(Roster roster) {
+            double arrivedAt = clock.now();
+            List<Upstream> entries = entries(roster);
             upstreams.update(roster);
             roster.members().forEach(member -> everListed.put(member.upstream().id(), true));
-        }
-        tell(null, () -> listChanged(change, entries));
-        if (roster != null) {
+            tell(null, () -> listChanged(roster.full() ? Change.FULL : Change.DELTA, entries));
             figures.list(roster.version(), clock.now() - arrivedAt);
         }
+
+        @Override
+        public void callFailed(CallEnd how) {
+            tell(null, () -> listChanged(Change.FAILED, List.of()));
+        }
     }
 
     private void listChanged(Change change, List<Upstream> entries) {
--- /dev/null
+++ b/src/test/java/cranedeal/node/discovery/WatchScheduleTest.java
@@ -0,0 +1,259 @@
+package cranedeal.node.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cranedeal.node.discovery.VirtualDiscovery.Fate;
+import cranedeal.node.discovery.VirtualDiscovery.Pace;
+import cranedeal.node.discovery.VirtualDiscovery.Watcher;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** How old a list may become, over drawn troubles of discovery, in virtual time. */
+class WatchScheduleTest {
+
+    /** By then a change counts as told. */
+    private static final double TOLD_MS = 6_000;
+    private static final int SEEDS = 300;
+
+    private static void assertInForce(VirtualDiscovery discovery, double from, double limitMs, String shown) {
+        for (Watcher watcher : discovery.watchers) {
+            for (long version = 42; version <= discovery.version(); version++) {
+                double changedAt = discovery.changedAt(version);
+                double latest = Math.max(Math.max(from, changedAt), watcher.startedAt) + limitMs;
+                double at = watcher.inForce.getOrDefault(version, Double.POSITIVE_INFINITY);
+                assertTrue(at <= latest || discovery.now() < latest, shown + ": version " + version + " of "
+                        + changedAt + " in force at " + at + ", process from " + watcher.startedAt);
+            }
+            assertTrue(watcher.mostOut <= WatchSchedule.MOST_OUT, shown);
+        }
+    }
+
+    /** Troubles in any order and number until a time, and quick answers from then on. */
+    @Test
+    void eachProcessHasTheListInTimeOnceDiscoveryCanBeHeard() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            double from = random.nextDouble(10_000);
+            double until = from + random.nextDouble(40_000);
+            Fate[] all = Fate.values();
+            List<Fate> kinds = new ArrayList<>();
+            for (int i = random.nextInt(1, 4); i > 0; i--) {
+                kinds.add(all[random.nextInt(all.length)]);
+            }
+            VirtualDiscovery discovery = new VirtualDiscovery(new Pace(false, random.nextDouble(200)),
+                    at -> at < from || at >= until ? Fate.ANSWERED : kinds.get(random.nextInt(kinds.size())));
+            discovery.start(random.nextInt(1, 31), 3_000, i -> random.nextLong());
+            for (int i = random.nextInt(1, 10); i > 0; i--) {
+                discovery.at(random.nextDouble(until + 10_000), discovery::change);
+            }
+            discovery.run(until + 40_000);
+            assertInForce(discovery, until, TOLD_MS, "seed " + seed + " " + kinds + " " + from + " to " + until);
+        }
+    }
+
+    /** Changes one after the other, at least so far apart, from some time after the start on. */
+    private static VirtualDiscovery play(Pace pace, int processes, double startWithin, double changesFrom,
+            double apart, SplittableRandom random) {
+        VirtualDiscovery discovery = new VirtualDiscovery(pace, at -> Fate.ANSWERED);
+        discovery.start(processes, startWithin, i -> random.nextLong());
+        double at = changesFrom;
+        for (int i = random.nextInt(1, 10); i > 0; i--) {
+            at += apart + random.nextDouble(10_000);
+            discovery.at(at, discovery::change);
+        }
+        discovery.run(at + 30_000);
+        return discovery;
+    }
+
+    /**
+     * Nothing else is wrong, and the pace has been seen before the change. Where an answer takes longer than
+     * 3 s, a change right behind another may have to wait for the next call.
+     */
+    @ParameterizedTest
+    @CsvSource({"0.1,0,6", "0.5,0,6", "1,0,6", "1.7,0,6", "2.2,0,6", "3,0,6", "4,12,6", "5,12,6", "4,0,7.5",
+        "5,0,7.5"})
+    void aListIsInForceInTimeThoughEachAnswerIsLate(double answerS, double apartS, double limitS) {
+        for (long seed = 1; seed <= SEEDS / 4; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            VirtualDiscovery discovery = play(new Pace(false, answerS * 1_000), random.nextInt(1, 31), 3_000,
+                    30_000, apartS * 1_000, random);
+            assertInForce(discovery, 0, limitS * 1_000, "answers of " + answerS + " s, seed " + seed);
+        }
+    }
+
+    private static void assertHeardInTurn(int processes, double callS) {
+        for (long seed = 1; seed <= SEEDS / 4; seed++) {
+            VirtualDiscovery discovery = play(new Pace(true, callS * 1_000), processes,
+                    seed % 2 == 0 ? 1 : 3_000, 0, 0, new SplittableRandom(seed));
+            assertInForce(discovery, 0, TOLD_MS, processes + " processes, " + callS + " s, seed " + seed);
+        }
+    }
+
+    /** From the first moment on; a round of all processes takes up to 3.6 s. */
+    @ParameterizedTest
+    @CsvSource({"1,0.1", "1,3", "4,0.6", "4,0.9", "10,0.36", "30,0.01", "30,0.12"})
+    void aDiscoveryThatWorksInTurnIsHeardInTimeByAll(int processes, double callS) {
+        assertHeardInTurn(processes, callS);
+    }
+
+    /** A round of all processes takes nearly as long as a change may go untold. */
+    @ParameterizedTest
+    @CsvSource({"1,5", "4,1.4", "10,0.5", "30,0.18"})
+    void aDiscoveryThatHardlyKeepsUpIsHeardInTimeByAll(int processes, double callS) {
+        assertHeardInTurn(processes, callS);
+    }
+
+    /** Far too slow for all of them, and it works off what was given up: each is heard again and again. */
+    @ParameterizedTest
+    @CsvSource({"8,2", "30,0.5", "30,1", "30,5"})
+    void noProcessStarvesBeforeADiscoveryThatIsMuchTooSlow(int processes, double callS) {
+        double roundMs = processes * callS * 1_000;
+        int rounds = 400;
+        for (long seed = 1; seed <= SEEDS / 30; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            VirtualDiscovery discovery = new VirtualDiscovery(new Pace(true, callS * 1_000),
+                    at -> Fate.ANSWERED);
+            discovery.start(processes, 1, i -> random.nextLong());
+            for (int i = 1; i < rounds; i++) {
+                discovery.at(i * roundMs, discovery::change);
+            }
+            discovery.run(rounds * roundMs);
+            double steadyFrom = rounds * roundMs / 2;
+            for (Watcher watcher : discovery.watchers) {
+                double last = steadyFrom;
+                double longest = 0;
+                for (double at : watcher.heardAt) {
+                    longest = at < steadyFrom ? 0 : Math.max(longest, at - last);
+                    last = Math.max(steadyFrom, at);
+                }
+                longest = Math.max(longest, discovery.now() - last) / roundMs;
+                assertTrue(longest <= WatchSchedule.MOST_OUT, processes + " processes, " + callS + " s, seed "
+                        + seed + ": not heard for " + longest + " rounds");
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"false,1", "false,2.2", "false,3", "false,5", "true,0.9", "true,2"})
+    void aSlowDiscoveryGetsNoMoreCallsThanAQuickOne(boolean inTurn, double answerS) {
+        long[] calls = new long[2];
+        for (int i = 0; i < 2; i++) {
+            VirtualDiscovery discovery = new VirtualDiscovery(new Pace(inTurn, i * answerS * 1_000),
+                    at -> Fate.ANSWERED);
+            discovery.start(4, 1_000, seed -> seed);
+            discovery.run(300_000);
+            calls[i] = discovery.calls;
+        }
+        assertTrue(calls[1] <= calls[0], calls[1] + " calls, " + calls[0] + " to a quick one");
+    }
+
+    /** Discovery is not pressed by a fleet that has not heard it for long. */
+    @ParameterizedTest
+    @CsvSource({"SILENT,1", "HALF,1", "REFUSED,5", "CUT,5", "NOT_CONNECTED,2"})
+    void aSilentDiscoveryIsCalledNoMoreOftenThanAQuickOneAndABrokenOneNotMuch(Fate fate, int times) {
+        long[] calls = new long[2];
+        for (int i = 0; i < 2; i++) {
+            Fate all = i == 0 ? Fate.ANSWERED : fate;
+            VirtualDiscovery discovery = new VirtualDiscovery(new Pace(false, 0), at -> all);
+            discovery.start(4, 1_000, seed -> seed);
+            discovery.run(300_000);
+            calls[i] = discovery.calls;
+        }
+        assertTrue(calls[1] <= times * calls[0], calls[1] + " calls, " + calls[0] + " to a quick one");
+    }
+
+    /** Calls and wakings by hand, without any discovery. */
+    private static final class Recorder implements WatchSchedule.Actions {
+
+        private final List<String> actions = new ArrayList<>();
+
+        @Override
+        public void call(long id, long index, int waitMs) {
+            actions.add("call " + id + " " + index + " " + waitMs);
+        }
+
+        @Override
+        public void giveUp(long id, CallEnd why) {
+            actions.add("giveUp " + id + " " + why);
+        }
+
+        @Override
+        public void wakeAt(double at) {
+            // Each test says what time it is.
+        }
+    }
+
+    private final Recorder recorder = new Recorder();
+    private final WatchSchedule schedule = new WatchSchedule(recorder, 2_500, 41, 1);
+
+    @Test
+    void aCallIsKeptWhileAnotherGoesOutAndItsLateAnswerCounts() {
+        schedule.watch(0, true);
+        schedule.timer(4_500);
+        assertEquals(List.of("call 1 41 2500", "call 2 41 250"), recorder.actions);
+        assertTrue(schedule.accepts(1, 50, false));
+        schedule.answered(4_600, 1, 50, true);
+        assertEquals(50, schedule.version());
+        assertEquals(2, recorder.actions.size());
+    }
+
+    @Test
+    void anOlderListNeverTakesThePlaceOfANewerOne() {
+        schedule.watch(0, true);
+        schedule.timer(4_500);
+        schedule.answered(4_600, 1, 50, true);
+        assertFalse(schedule.accepts(2, 49, false), "changes until 49");
+        assertFalse(schedule.accepts(2, 49, true), "a whole list of before");
+        assertTrue(schedule.accepts(2, 51, false));
+    }
+
+    @Test
+    void aDiscoveryThatHasBegunAnewWithLowerVersionsIsBelieved() {
+        schedule.watch(0, true);
+        schedule.answered(100, 1, 50, true);
+        assertFalse(schedule.accepts(2, 3, false), "changes since 50 can't end at 3");
+        assertTrue(schedule.accepts(2, 3, true));
+    }
+
+    @Test
+    void anAnswerToALaterCallEndsTheEarlierOnes() {
+        schedule.watch(0, true);
+        schedule.timer(4_500);
+        schedule.answered(4_600, 2, 50, true);
+        assertEquals(List.of("call 1 41 2500", "call 2 41 250", "giveUp 1 SUPERSEDED", "call 3 50 2500"),
+                recorder.actions);
+    }
+
+    @Test
+    void theFirstRetryComesSoonAndLaterOnesBackOff() {
+        schedule.watch(0, true);
+        double now = 0;
+        for (int i = 1; i <= 8; i++) {
+            schedule.failed(now, i);
+            now += i == 1 ? 100 : 800;
+            schedule.timer(now);
+            assertEquals("call " + (i + 1) + " 41 250", recorder.actions.get(i));
+        }
+        schedule.failed(now, 9);
+        schedule.timer(now + 399);
+        assertEquals(9, recorder.actions.size());
+    }
+
+    @Test
+    void anotherAddressIsCalledAtOnceAndTheOldCallsAreGivenUp() {
+        schedule.watch(0, true);
+        schedule.failed(1, 1);
+        schedule.moved(2);
+        assertEquals("call 2 41 2500", recorder.actions.get(1));
+        schedule.moved(3);
+        assertEquals(List.of("giveUp 2 STOPPED", "call 3 41 2500"), recorder.actions.subList(2, 4));
+        schedule.watch(4, false);
+        assertEquals("giveUp 3 STOPPED", recorder.actions.get(4));
+    }
+}
