--- a/src/main/java/cranedeal/node/discovery/WatchSchedule.java
+++ b/src/main/java/cranedeal/node/discovery/WatchSchedule.java
@@ -138,7 +138,7 @@
         retriesAtOnce = on;
     }
 
-    /** Discovery is at another address: nothing is known against it, and calls to the old one are given up. */
+    /** Discovery is at another address: nothing is known against it, and all calls are given up. */
     public void moved(double now) {
         giveUpAll();
         heard();
--- a/src/test/java/cranedeal/lab/slope/DrainTest.java
+++ b/src/test/java/cranedeal/lab/slope/DrainTest.java
@@ -16,14 +16,16 @@
     private static final double AFTER_S = 10;
 
     private static DrainTrial.Seen play(int upstreams, int balancers, String trouble) throws Exception {
-        try (DrainTrial trial = new DrainTrial(new ProgramUnderTest().command(), new DrainTrial.Plan(upstreams,
-                balancers, RATE, AFTER_S, DiscoveryTrouble.parse(trouble), 1))) {
+        DrainTrial.Plan plan = new DrainTrial.Plan(upstreams, balancers, RATE, AFTER_S,
+                DiscoveryTrouble.parse(trouble), 1);
+        try (DrainTrial trial = new DrainTrial(new ProgramUnderTest().command(), plan)) {
             return trial.play();
         }
     }
 
     @ParameterizedTest
-    @CsvSource({"3200,1,slow:2200", "200,1,slow:5000", "3200,4,turn:900", "200,1,endless:3", "200,1,cut:8:100"})
+    @CsvSource({"3200,1,slow:2200", "200,1,slow:5000", "3200,4,turn:900", "200,1,endless:3",
+        "200,1,cut:8:100"})
     void aSlowOrBrokenDiscoveryKeepsNoUpstreamInUseAfterItHasLeft(int upstreams, int balancers,
             String trouble) throws Exception {
         DrainTrial.Seen seen = play(upstreams, balancers, trouble);
--- a/src/test/java/cranedeal/node/DiscoveryReturnTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryReturnTest.java
@@ -17,8 +17,8 @@
 
 /**
  * In virtual time: how soon balancers have a list again once discovery can be reached, whatever became of the
- * calls that were out. The schedule is the very one of the program; discovery works through calls in turn, and
- * fails those that waited too long.
+ * calls that were out. The schedule is the very one of the program; discovery works through calls in turn,
+ * and fails those that waited too long.
  */
 class DiscoveryReturnTest {
 
--- a/src/test/java/cranedeal/node/discovery/WatchScheduleTest.java
+++ b/src/test/java/cranedeal/node/discovery/WatchScheduleTest.java
@@ -46,14 +46,15 @@
             for (int i = random.nextInt(1, 4); i > 0; i--) {
                 kinds.add(all[random.nextInt(all.length)]);
             }
-            VirtualDiscovery discovery = new VirtualDiscovery(new Pace(false, random.nextDouble(200)),
-                    at -> at < from || at >= until ? Fate.ANSWERED : kinds.get(random.nextInt(kinds.size())));
+            VirtualDiscovery discovery = new VirtualDiscovery(new Pace(false, random.nextDouble(200)), at ->
+                    at < from || at >= until ? Fate.ANSWERED : kinds.get(random.nextInt(kinds.size())));
             discovery.start(random.nextInt(1, 31), 3_000, i -> random.nextLong());
             for (int i = random.nextInt(1, 10); i > 0; i--) {
                 discovery.at(random.nextDouble(until + 10_000), discovery::change);
             }
             discovery.run(until + 40_000);
-            assertInForce(discovery, until, TOLD_MS, "seed " + seed + " " + kinds + " " + from + " to " + until);
+            assertInForce(discovery, until, TOLD_MS,
+                    "seed " + seed + " " + kinds + " " + from + " to " + until);
         }
     }
 
