Move discovery's client into a package of its own, with the field's names

cranedeal.node.discovery has the client, its calls, the schedule, the form of lists and start times; Roster is UpstreamList, retune moveTo, push setPushed. It no longer knows Node or its configuration: the parser of lists, the clock and where to begin are given.

--- a/src/main/java/cranedeal/node/DiscoveryWatch.java
+++ b/src/main/java/cranedeal/node/DiscoveryWatch.java
@@ -1,6 +1,8 @@
 package cranedeal.node;
 
 import cranedeal.node.discovery.CallEnd;
+import cranedeal.node.discovery.DiscoveryClient;
+import cranedeal.node.discovery.UpstreamList;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -9,14 +11,14 @@
 
 /**
  * A balancer's watch of discovery without the balancer, for measuring what it costs there and on the way. It
- * is {@link Discovery} as the program has it, with the list pushed.
+ * is {@link DiscoveryClient} as the program has it, with the list pushed.
  */
 public final class DiscoveryWatch implements AutoCloseable {
 
     private final EventLoop loop;
-    private final Discovery client;
+    private final DiscoveryClient client;
 
-    private DiscoveryWatch(EventLoop loop, Discovery client) {
+    private DiscoveryWatch(EventLoop loop, DiscoveryClient client) {
         this.loop = loop;
         this.client = client;
     }
@@ -25,35 +27,36 @@
      * Begins to watch.
      *
      * @param config a balancer's whole configuration, of which it takes what concerns discovery
-     * @param told given the version of each list or change that comes, on the loop
+     * @param listener given the version of each list or change that comes, on the loop
      * @throws IOException if the configuration can't be read; it names file and key
      */
-    public static DiscoveryWatch open(EventLoop loop, Path config, LongConsumer told) throws IOException {
+    public static DiscoveryWatch open(EventLoop loop, Path config, LongConsumer listener) throws IOException {
         NodeConfig read;
         try {
             read = NodeConfig.read(config.toString());
         } catch (ConfigException e) {
             throw new IOException(e.getMessage(), e);
         }
-        Discovery client = new Discovery(loop, read, UnpooledByteBufAllocator.DEFAULT,
-                new Discovery.Listener() {
+        Clock clock = new Clock();
+        DiscoveryClient client = new DiscoveryClient(loop, clock::now, read.discoveryStart(),
+                read::parseList, UnpooledByteBufAllocator.DEFAULT, new DiscoveryClient.Listener() {
                     @Override
-                    public void changed(Roster list) {
-                        told.accept(list.version());
+                    public void changed(UpstreamList list) {
+                        listener.accept(list.version());
                     }
 
                     @Override
                     public void callFailed(CallEnd how) {
                         // The watch goes on by itself.
                     }
-                }, Discovery.LONGEST_WAIT_MS);
-        loop.execute(() -> client.push(true));
+                });
+        loop.execute(() -> client.setPushed(true));
         return new DiscoveryWatch(loop, client);
     }
 
     /** Ends it; returns at once. */
     @Override
     public void close() {
-        loop.execute(() -> client.push(false));
+        loop.execute(() -> client.setPushed(false));
     }
 }
--- a/src/main/java/cranedeal/node/FleetConfig.java
+++ b/src/main/java/cranedeal/node/FleetConfig.java
@@ -1,6 +1,7 @@
 package cranedeal.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import cranedeal.node.discovery.UpstreamList;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -97,7 +98,7 @@
 
     private static InetSocketAddress address(JsonNode given, String key) {
         try {
-            InetSocketAddress address = Roster.address(given.asText(""));
+            InetSocketAddress address = UpstreamList.address(given.asText(""));
             if (address.getAddress().isLoopbackAddress() && address.getPort() != 0) {
                 return address;
             }
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -1,5 +1,6 @@
 package cranedeal.node;
 
+import cranedeal.node.channel.Channels;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -316,7 +317,7 @@
     /** Closes what is idle; whether nothing is left and nobody can come, so that the process may end. */
     boolean endDrain() {
         if (listening != null) {
-            Sockets.readNow(listening);
+            Channels.readNow(listening);
         }
         for (Connection connection : new ArrayList<>(connections)) {
             // A request that lies unread in the kernel would be lost with its connection.
@@ -474,7 +475,7 @@
         /** Reads what the kernel holds, unless that is to wait. */
         void readNow() {
             if (channel.config().isAutoRead()) {
-                Sockets.readNow(channel);
+                Channels.readNow(channel);
             }
         }
 
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -11,6 +11,9 @@
 import cranedeal.LoadBalancer.ServiceClass;
 import cranedeal.LoadBalancer.Upstream;
 import cranedeal.node.discovery.CallEnd;
+import cranedeal.node.discovery.DiscoveryClient;
+import cranedeal.node.discovery.StartTimes;
+import cranedeal.node.discovery.UpstreamList;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.buffer.Unpooled;
@@ -23,6 +26,7 @@
 import io.netty.util.concurrent.DefaultEventExecutor;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.channels.FileLock;
 import java.nio.charset.StandardCharsets;
@@ -83,7 +87,7 @@
     private final LoopMonitor monitor;
     private final LoadBalancer balancer;
     private final UpstreamClient upstreams;
-    private final Discovery discovery;
+    private final DiscoveryClient discovery;
     private final Frontend frontend;
     private final Sockets sockets;
     private final Figures figures = new Figures();
@@ -150,7 +154,8 @@
         balancer = module.apply(this);
         upstreams = new UpstreamClient(loop, clock, monitor::lateness, config.settings(), sockets, figures,
                 memory);
-        discovery = new Discovery(loop, config, memory, new ListUpdates(), Discovery.LONGEST_WAIT_MS);
+        discovery = new DiscoveryClient(loop, clock::now, config.discoveryStart(), this::parseList, memory,
+                new ListUpdates());
         frontend = new Frontend(loop, config, sockets, memory, this, figures, monitor, clock);
         figures.show(config.classes());
         door = config.admin() == null ? null : new Door(this, loop);
@@ -238,9 +243,9 @@
     }
 
     private void begin(Orders kept, LearntFile.Kept learnt) {
-        Roster known = new Roster(config.known().version(), true, config.known().members());
+        UpstreamList known = new UpstreamList(config.known().version(), true, config.known().members());
         upstreams.update(known);
-        discovery.push(!config.settings().subscribe());
+        discovery.setPushed(!config.settings().subscribe());
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
         if (learnt != null) {
             tell(null, () -> keeper.recall(learnt, balancer));
@@ -292,11 +297,11 @@
         });
     }
 
-    private List<Upstream> entries(Roster roster) {
+    private List<Upstream> entries(UpstreamList list) {
         double now = clock.now();
         double unix = System.currentTimeMillis();
-        List<Upstream> entries = new ArrayList<>(roster.members().size());
-        for (Roster.Member member : roster.members()) {
+        List<Upstream> entries = new ArrayList<>(list.members().size());
+        for (UpstreamList.Member member : list.members()) {
             Upstream listed = member.upstream();
             double startedAt = startTimes.of(listed.id(), listed.startedAt(), now, unix);
             entries.add(startedAt == listed.startedAt() ? listed : new Upstream(listed.id(), listed.zone(),
@@ -330,7 +335,7 @@
 
     @Override
     public CompletionStage<Boolean> ban(String id, boolean banned) {
-        long upstream = Roster.number(id);
+        long upstream = UpstreamList.number(id);
         if (!everListed.containsKey(upstream) && !upstreams.isListed(upstream)
                 && !orders.out().contains(id)) {
             return CompletableFuture.completedFuture(false);
@@ -411,7 +416,7 @@
 
     private void use(String id, boolean used) {
         LOG.info(id + (used ? " is put back to use" : " is taken out of use") + " by hand");
-        long upstream = Roster.number(id);
+        long upstream = UpstreamList.number(id);
         upstreams.ban(upstream, !used);
         tell(null, () -> {
             balancer.upstreamBanned(clock.now(), upstream, !used);
@@ -581,9 +586,9 @@
         upstreams.retune(replaced.settings());
         frontend.retune(replaced);
         // Before the module, which may begin to ask for itself.
-        discovery.push(!replaced.settings().subscribe());
+        discovery.setPushed(!replaced.settings().subscribe());
         tell(null, () -> balancer.retuned(clock.now(), replaced.settings()));
-        discovery.retune(replaced);
+        discovery.moveTo(replaced.discovery());
         LOG.info("goes by a new configuration; discovery is at " + replaced.discovery());
     }
 
@@ -648,17 +653,21 @@
         leave(exchange);
     }
 
+    private UpstreamList parseList(InputStream body) throws IOException {
+        return config.parseList(body);
+    }
+
     /** Passes on what discovery tells. */
-    private final class ListUpdates implements Discovery.Listener {
+    private final class ListUpdates implements DiscoveryClient.Listener {
 
         @Override
-        public void changed(Roster roster) {
+        public void changed(UpstreamList list) {
             double arrivedAt = clock.now();
-            List<Upstream> entries = entries(roster);
-            upstreams.update(roster);
-            roster.members().forEach(member -> everListed.put(member.upstream().id(), true));
-            tell(null, () -> listChanged(roster.full() ? Change.FULL : Change.DELTA, entries));
-            figures.list(roster.version(), clock.now() - arrivedAt);
+            List<Upstream> entries = entries(list);
+            upstreams.update(list);
+            list.members().forEach(member -> everListed.put(member.upstream().id(), true));
+            tell(null, () -> listChanged(list.full() ? Change.FULL : Change.DELTA, entries));
+            figures.list(list.version(), clock.now() - arrivedAt);
         }
 
         @Override
--- a/src/main/java/cranedeal/node/NodeConfig.java
+++ b/src/main/java/cranedeal/node/NodeConfig.java
@@ -5,9 +5,12 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import cranedeal.LoadBalancer.Settings;
+import cranedeal.node.discovery.DiscoveryClient;
+import cranedeal.node.discovery.UpstreamList;
 import cranedeal.wire.MalformedInputException;
 import cranedeal.wire.SettingsParser;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -33,13 +36,23 @@
  */
 record NodeConfig(String path, String name, InetSocketAddress listen, InetSocketAddress admin,
         InetSocketAddress discovery, long seed, int sockets, Settings settings, List<String> zones,
-        List<String> kinds, List<String> classes, List<String> tenants, Set<String> keys, Roster known,
+        List<String> kinds, List<String> classes, List<String> tenants, Set<String> keys, UpstreamList known,
         Path stateDir, FleetConfig fleet) {
 
     static final JsonMapper JSON = JsonMapper.builder()
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
     private static final String CLASS = "a class that is ";
 
+    /** What a client of discovery begins with. */
+    DiscoveryClient.Start discoveryStart() {
+        return new DiscoveryClient.Start(discovery, known.version(), seed, DiscoveryClient.LONGEST_WAIT_MS);
+    }
+
+    /** Reads a list as discovery answers with it, by the names of zones and kinds in the settings. */
+    UpstreamList parseList(InputStream body) throws IOException {
+        return UpstreamList.parse(JSON.readTree(body), zones, kinds);
+    }
+
     /**
      * Reads a file that is to replace the one in force: whatever that has, it must have too.
      *
@@ -127,7 +140,7 @@
                 admin(root), address(root, "discovery"), seed(root.path("seed").asText("")),
                 root.path("limits").path("sockets").asInt(1_024), settings, zones, kinds,
                 classes, names(given.path("tenants")), keys,
-                Roster.parse(root.path("known"), zones, kinds), folder(root, "state_dir"),
+                UpstreamList.parse(root.path("known"), zones, kinds), folder(root, "state_dir"),
                 FleetConfig.parse(root));
     }
 
@@ -165,7 +178,7 @@
 
     private static InetSocketAddress address(JsonNode root, String key) {
         try {
-            return Roster.address(root.path(key).asText(""));
+            return UpstreamList.address(root.path(key).asText(""));
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException(key + ": " + e.getMessage(), e);
         }
@@ -176,7 +189,7 @@
         String given = System.getenv("PROXY_ADMIN_ADDR");
         if (given != null && !given.isEmpty()) {
             try {
-                return Roster.address(given);
+                return UpstreamList.address(given);
             } catch (IllegalArgumentException e) {
                 throw new IllegalArgumentException("PROXY_ADMIN_ADDR: " + e.getMessage(), e);
             }
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/cranedeal/node/Sockets.java
@@ -1,10 +1,6 @@
 package cranedeal.node;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.nio.AbstractNioChannel;
-import java.net.SocketAddress;
 
 /**
  * Counts the process's connections against the descriptors that it may hold. A caller that waits in the
@@ -136,26 +132,4 @@
         open++;
         channel.closeFuture().addListener(closed -> open--);
     }
-
-    /**
-     * Opens a connection. Where there is no socket to be had, Netty's future knows no channel and tells its
-     * listeners on a thread of its own; that is told here at once instead.
-     *
-     * @return null if there is no socket to be had
-     */
-    static ChannelFuture connect(Bootstrap bootstrap, SocketAddress address) {
-        ChannelFuture connect = bootstrap.connect(address);
-        boolean noSocket = connect.isDone() && !connect.isSuccess() && !connect.channel().isRegistered();
-        return noSocket ? null : connect;
-    }
-
-    /**
-     * Handles at once what the kernel holds for a channel: bytes, the peer's end of the stream, callers in
-     * the backlog. What it says about a connection is then as fresh as can be.
-     */
-    static void readNow(Channel channel) {
-        if (channel.isOpen()) {
-            ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
-        }
-    }
 }
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -3,7 +3,9 @@
 import cranedeal.LoadBalancer.Result;
 import cranedeal.LoadBalancer.Settings;
 import cranedeal.LoadBalancer.State;
-import cranedeal.node.Roster.Member;
+import cranedeal.node.discovery.UpstreamList.Member;
+import cranedeal.node.channel.Channels;
+import cranedeal.node.discovery.UpstreamList;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -185,10 +187,10 @@
     }
 
     /** Takes in a list; what an upstream that left or drains still holds idle is of no more use. */
-    void update(Roster roster) {
+    void update(UpstreamList list) {
         double now = clock.now();
-        Map<Long, Target> left = new HashMap<>(roster.full() ? targets : Map.of());
-        for (Member member : roster.members()) {
+        Map<Long, Target> left = new HashMap<>(list.full() ? targets : Map.of());
+        for (Member member : list.members()) {
             left.remove(member.upstream().id());
             if (member.upstream().state() == State.REMOVED) {
                 strike(targets.get(member.upstream().id()), now);
@@ -406,7 +408,7 @@
         }
 
         private void connect(Target to) {
-            ChannelFuture connect = Sockets.connect(bootstrap, to.member.address());
+            ChannelFuture connect = Channels.connect(bootstrap, to.member.address());
             if (connect == null) {
                 figures.failed(Figures.ConnectFailure.NO_SOCKET);
                 end(Result.NOT_SENT, null);
@@ -584,7 +586,7 @@
          */
         private void readNow() {
             if (!over && written && download == null) {
-                Sockets.readNow(channel);
+                Channels.readNow(channel);
             }
         }
 
@@ -662,7 +664,7 @@
         for (Connection c = target.idle.pollLast(); c != null; c = target.idle.pollLast()) {
             idle.remove(c);
             // The upstream may have closed it, and what is written to it then would count as run.
-            Sockets.readNow(c.channel);
+            Channels.readNow(c.channel);
             if (c.channel.isActive() && c.idleSince >= oldest) {
                 return c;
             }
--- /dev/null
+++ b/src/main/java/cranedeal/node/channel/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers around Netty's channels. */
+package cranedeal.node.channel;
--- a/src/main/java/cranedeal/node/DiscoveryCall.java
+++ b/src/main/java/cranedeal/node/discovery/DiscoveryCall.java
@@ -1,7 +1,6 @@
-package cranedeal.node;
+package cranedeal.node.discovery;
 
-import cranedeal.node.discovery.CallEnd;
-import cranedeal.node.discovery.CallRecord;
+import cranedeal.node.channel.Channels;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -28,13 +27,6 @@
 
     private static final int MAX_LIST = 4 * 1024 * 1024;
 
-    /** Reads a list from the body of an answer. */
-    interface ListParser {
-
-        /** Throws {@link IOException} or {@link IllegalArgumentException} for what is no list. */
-        Roster parse(InputStream body) throws IOException;
-    }
-
     /** What is told of a call; either of the last two comes once, unless the call is given up. */
     interface Listener {
 
@@ -42,7 +34,7 @@
         void begun();
 
         /** A whole list has come. */
-        void answered(Roster list);
+        void answered(UpstreamList list);
 
         /** Nothing comes any more. */
         void failed(CallEnd how);
@@ -109,7 +101,7 @@
     /** Handles at once what has come and was not read yet. */
     void readNow() {
         if (channel != null && !over) {
-            Sockets.readNow(channel);
+            Channels.readNow(channel);
         }
     }
 
@@ -152,11 +144,11 @@
         if (over) {
             return;
         }
-        Roster list;
+        UpstreamList list;
         try {
             list = parse(response);
         } catch (IOException | IllegalArgumentException e) {
-            Node.LOG.warning("discovery's answer is of no use: " + e.getMessage());
+            DiscoveryClient.LOG.warning("discovery's answer is of no use: " + e.getMessage());
             fail(CallEnd.BAD_ANSWER);
             return;
         }
@@ -164,7 +156,7 @@
         listener.answered(list);
     }
 
-    private Roster parse(FullHttpResponse response) throws IOException {
+    private UpstreamList parse(FullHttpResponse response) throws IOException {
         if (!response.decoderResult().isSuccess() || response.status().code() != 200) {
             throw new IOException("status " + response.status().code());
         }
@@ -215,7 +207,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof IOException)) {
-                Node.LOG.log(Level.WARNING, "the connection to discovery failed", cause);
+                DiscoveryClient.LOG.log(Level.WARNING, "the connection to discovery failed", cause);
             }
             if (call != null) {
                 call.fail(CallEnd.BROKEN);
--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/discovery/DiscoveryClient.java
@@ -1,8 +1,6 @@
-package cranedeal.node;
+package cranedeal.node.discovery;
 
-import cranedeal.node.discovery.CallEnd;
-import cranedeal.node.discovery.DiscoveryFigures;
-import cranedeal.node.discovery.WatchSchedule;
+import cranedeal.node.channel.Channels;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
@@ -11,44 +9,56 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /**
  * Watches discovery for changes of the list of upstreams: carries out on sockets what {@link WatchSchedule}
  * decides. Whatever goes wrong with a call, the old list holds, and the schedule calls again by itself.
  */
-final class Discovery {
+public final class DiscoveryClient {
 
     /** The longest that a watch waits for news, in ms; to go on with it costs discovery little. */
-    static final int LONGEST_WAIT_MS = 2_500;
+    public static final int LONGEST_WAIT_MS = 2_500;
+    static final Logger LOG = Logger.getLogger("sablehinge");
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** How long the whole list is waited for where it is asked for on its own. */
     private static final long FETCH_TIMEOUT_MS = 60_000;
     private static final long NO_INDEX = -1;
+    private static final double NANOS_PER_MS = 1e6;
 
     /** What the list is told to. */
-    interface Listener {
+    public interface Listener {
 
         /** A whole list, or what has changed. */
-        void changed(Roster list);
+        void changed(UpstreamList list);
 
         /** A call has failed; the old list holds. */
         void callFailed(CallEnd how);
     }
 
+    /**
+     * What a client begins with.
+     *
+     * @param address where discovery listens
+     * @param version of the list that is known
+     * @param seed of the waits that are drawn
+     * @param longestWaitMs the longest that a watch waits for news
+     */
+    public record Start(InetSocketAddress address, long version, long seed, int longestWaitMs) { }
+
     private final EventLoop loop;
-    private NodeConfig config;
+    private final DoubleSupplier clock;
+    private final ListParser parser;
     private final Listener listener;
     private final Bootstrap bootstrap;
-    private final Clock clock = new Clock();
     private final DiscoveryFigures figures;
     private final WatchSchedule schedule;
     /** The calls of the watch that are out, by their numbers. */
@@ -60,14 +70,21 @@
     private Channel idle;
     private Future<?> wake;
 
-    Discovery(EventLoop loop, NodeConfig config, ByteBufAllocator memory, Listener listener,
-            int longestWaitMs) {
+    /**
+     * A client that does nothing yet.
+     *
+     * @param clock in milliseconds; it never goes back
+     * @param start where discovery is, and what is known of the list
+     */
+    public DiscoveryClient(EventLoop loop, DoubleSupplier clock, Start start, ListParser parser,
+            ByteBufAllocator memory, Listener listener) {
         this.loop = loop;
-        this.config = config;
+        this.clock = clock;
+        this.parser = parser;
         this.listener = listener;
-        address = config.discovery();
-        figures = new DiscoveryFigures(clock::now, config.known().version(), Node.LOG::info);
-        schedule = new WatchSchedule(new Carrier(), longestWaitMs, config.known().version(), config.seed());
+        address = start.address();
+        figures = new DiscoveryFigures(clock, start.version(), LOG::info);
+        schedule = new WatchSchedule(new Carrier(), start.longestWaitMs(), start.version(), start.seed());
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -80,12 +97,12 @@
     }
 
     /** What is counted of the calls, and the age of the list. */
-    DiscoveryFigures figures() {
+    public DiscoveryFigures figures() {
         return figures;
     }
 
-    /** Keeps the watch open where settings have lists pushed, or leaves that to whoever asks. */
-    void push(boolean on) {
+    /** Keeps the watch open where settings have lists pushed, or leaves that to {@link #watch}. */
+    public void setPushed(boolean on) {
         if (on != pushed) {
             pushed = on;
             schedule.setRetriesAtOnce(on);
@@ -94,43 +111,35 @@
     }
 
     /** Begins the watch, or ends it. */
-    void watch(boolean on) {
-        schedule.watch(clock.now(), on);
+    public void watch(boolean on) {
+        schedule.watch(clock.getAsDouble(), on);
     }
 
-    /**
-     * From now on goes by another configuration, and calls at its address. What is out at the old one would
-     * only be cut off, and news would come late.
-     */
-    void retune(NodeConfig replaced) {
-        config = replaced;
-        if (replaced.discovery().equals(address)) {
+    /** Calls at another address from now on. What is out at the old one would only be cut off. */
+    public void moveTo(InetSocketAddress replaced) {
+        if (replaced.equals(address)) {
             return;
         }
-        address = replaced.discovery();
+        address = replaced;
         if (idle != null) {
             idle.close();
             idle = null;
         }
-        schedule.moved(clock.now());
+        schedule.moved(clock.getAsDouble());
     }
 
     /** Asks once for the whole list. */
-    void fetch() {
+    public void fetch() {
         Fetch fetch = new Fetch();
-        fetch.call = new DiscoveryCall(0, NO_INDEX, 0, clock::now, this::parse, fetch);
+        fetch.call = new DiscoveryCall(0, NO_INDEX, 0, clock, parser, fetch);
         fetch.expiry = loop.schedule(() -> fetch.call.fail(CallEnd.TIMED_OUT), FETCH_TIMEOUT_MS,
                 TimeUnit.MILLISECONDS);
         figures.begun();
         connect(fetch.call);
     }
 
-    private Roster parse(InputStream body) throws IOException {
-        return Roster.parse(NodeConfig.JSON.readTree(body), config.zones(), config.kinds());
-    }
-
     private void connect(DiscoveryCall call) {
-        ChannelFuture connect = Sockets.connect(bootstrap, address);
+        ChannelFuture connect = Channels.connect(bootstrap, address);
         if (connect == null) {
             loop.execute(() -> call.fail(CallEnd.NOT_CONNECTED));
         } else {
@@ -139,12 +148,12 @@
     }
 
     /** Whether a list could be taken in; one that its listener can't take must not end the watch for good. */
-    private boolean tell(Roster list) {
+    private boolean tell(UpstreamList list) {
         try {
             listener.changed(list);
             return true;
         } catch (RuntimeException e) {
-            Node.LOG.log(Level.SEVERE, "a list of upstreams could not be taken in", e);
+            LOG.log(Level.SEVERE, "a list of upstreams could not be taken in", e);
             return false;
         }
     }
@@ -155,10 +164,14 @@
         }
     }
 
+    private long nanosUntil(double at) {
+        return (long) Math.ceil(Math.max(0, at - clock.getAsDouble()) * NANOS_PER_MS);
+    }
+
     /** A loop that is late handles timers before it looks at its sockets, so what has come is read first. */
     private void wake() {
         List.copyOf(calls.values()).forEach(DiscoveryCall::readNow);
-        schedule.timer(clock.now());
+        schedule.timer(clock.getAsDouble());
     }
 
     /** Carries out what the schedule asks for. */
@@ -166,7 +179,7 @@
 
         @Override
         public void call(long id, long index, int waitMs) {
-            DiscoveryCall call = new DiscoveryCall(id, index, waitMs, clock::now, Discovery.this::parse,
+            DiscoveryCall call = new DiscoveryCall(id, index, waitMs, clock, parser,
                     new Watching(id));
             calls.put(id, call);
             figures.begun();
@@ -195,7 +208,7 @@
                 wake.cancel(false);
             }
             wake = at == Double.POSITIVE_INFINITY ? null
-                    : loop.schedule(Discovery.this::wake, clock.nanosUntil(at), TimeUnit.NANOSECONDS);
+                    : loop.schedule(DiscoveryClient.this::wake, nanosUntil(at), TimeUnit.NANOSECONDS);
         }
     }
 
@@ -210,29 +223,29 @@
 
         @Override
         public void begun() {
-            schedule.begun(clock.now(), id);
+            schedule.begun(clock.getAsDouble(), id);
         }
 
         @Override
-        public void answered(Roster list) {
+        public void answered(UpstreamList list) {
             DiscoveryCall call = calls.remove(id);
             keep(call.channel());
             boolean accepted = schedule.accepts(id, list.version(), list.full());
             figures.ended(call.record(accepted ? CallEnd.ANSWERED : CallEnd.OUTDATED));
             if (accepted && !tell(list)) {
-                schedule.failed(clock.now(), id);
+                schedule.failed(clock.getAsDouble(), id);
                 tellFailure(CallEnd.BAD_ANSWER);
                 return;
             }
             long version = accepted ? list.version() : schedule.version();
-            schedule.answered(clock.now(), id, version, !list.members().isEmpty());
+            schedule.answered(clock.getAsDouble(), id, version, !list.members().isEmpty());
             figures.confirmed(version, schedule.confirmedAt());
         }
 
         @Override
         public void failed(CallEnd how) {
             figures.ended(calls.remove(id).record(how));
-            schedule.failed(clock.now(), id);
+            schedule.failed(clock.getAsDouble(), id);
             tellFailure(how);
         }
 
@@ -256,7 +269,7 @@
         }
 
         @Override
-        public void answered(Roster list) {
+        public void answered(UpstreamList list) {
             expiry.cancel(false);
             // Changes are no answer to a call for the whole list, nor is one older than what is known.
             boolean taken = list.full() && list.version() >= schedule.version() && tell(list);
--- a/src/main/java/cranedeal/node/StartTimes.java
+++ b/src/main/java/cranedeal/node/discovery/StartTimes.java
@@ -1,14 +1,14 @@
-package cranedeal.node;
+package cranedeal.node.discovery;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
- * When upstreams have started, by the node's clock. Discovery tells it in Unix time, which may be stepped
- * while the node's clock runs on evenly; so what it tells is taken by the age that it means at the moment of
- * the first list that has it, and stays so in later lists.
+ * When upstreams have started, by the node's clock. Discovery has it in Unix time, which may be stepped while
+ * the node's clock runs on evenly; so it is taken by the age that it means at the moment of the first list
+ * that has it, and stays so in later lists.
  */
-final class StartTimes {
+public final class StartTimes {
 
     /** Clocks that differ by less than this, in ms, are the same: they are read one after the other. */
     private static final double SAME_MS = 1_000;
@@ -34,7 +34,7 @@
      * @param now the node's clock
      * @param unix the Unix time at the same moment
      */
-    double of(long upstream, double listed, double now, double unix) {
+    public double of(long upstream, double listed, double now, double unix) {
         Start before = known.get(upstream);
         if (before != null && before.listed() == listed) {
             return before.at();
--- a/src/main/java/cranedeal/node/Roster.java
+++ b/src/main/java/cranedeal/node/discovery/UpstreamList.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package cranedeal.node.discovery;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import cranedeal.LoadBalancer.State;
@@ -12,17 +12,21 @@
 import java.util.List;
 import java.util.zip.CRC32C;
 
-/** A list of upstreams in discovery's form: the whole one, or what has changed. */
-record Roster(long version, boolean full, List<Member> members) {
+/**
+ * A list of upstreams in discovery's form.
+ *
+ * @param full whether it is the whole list; otherwise it has what has changed
+ */
+public record UpstreamList(long version, boolean full, List<Member> members) {
 
-    /** An upstream as the module knows it, and where it listens. */
-    record Member(Upstream upstream, InetSocketAddress address) { }
+    /** An upstream, and where it listens; null for one that is gone and has no address. */
+    public record Member(Upstream upstream, InetSocketAddress address) { }
 
     /**
      * Reads a list; throws {@link IllegalArgumentException} if any part of it is amiss, since half a list
      * would drop upstreams that are well.
      */
-    static Roster parse(JsonNode list, List<String> zones, List<String> kinds) {
+    public static UpstreamList parse(JsonNode list, List<String> zones, List<String> kinds) {
         JsonNode servers = list.get("servers");
         if (servers == null || !servers.isArray() || !list.path("version").isIntegralNumber()) {
             throw new IllegalArgumentException("a list of upstreams needs a version and servers");
@@ -31,7 +35,7 @@
         for (JsonNode entry : servers) {
             members.add(member(entry, zones, kinds));
         }
-        return new Roster(list.get("version").longValue(), list.path("full").asBoolean(), members);
+        return new UpstreamList(list.get("version").longValue(), list.path("full").asBoolean(), members);
     }
 
     private static Member member(JsonNode entry, List<String> zones, List<String> kinds) {
@@ -54,7 +58,7 @@
     }
 
     /** The same number for an id at every balancer, as the module's subsets rest on it. */
-    static long number(String id) {
+    public static long number(String id) {
         CRC32C low = new CRC32C();
         low.update(id.getBytes(StandardCharsets.UTF_8));
         return (long) id.hashCode() << Integer.SIZE | low.getValue();
@@ -67,7 +71,7 @@
     }
 
     /** A numeric address with its port; there is no DNS to ask for any other. */
-    static InetSocketAddress address(String text) {
+    public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         byte[] ip = NetUtil.createByteArrayFromIpAddressString(
                 colon < 0 ? text : text.substring(0, colon));
--- a/src/test/java/cranedeal/node/DiscoveryBenchmark.java
+++ b/src/test/java/cranedeal/node/DiscoveryBenchmark.java
@@ -6,6 +6,8 @@
 import cranedeal.lab.slope.SlopeReport.Basis;
 import cranedeal.lab.standin.DiscoveryServer;
 import cranedeal.lab.standin.LabClock;
+import cranedeal.node.discovery.DiscoveryClient;
+import cranedeal.node.discovery.UpstreamList;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -151,7 +153,7 @@
             threads.shutdownNow();
         }
         SlopeReport report = new SlopeReport("discovery", COMMAND, "upstream")
-                .with("watch_ms", Discovery.LONGEST_WAIT_MS).with("release_ms", RELEASE_MS)
+                .with("watch_ms", DiscoveryClient.LONGEST_WAIT_MS).with("release_ms", RELEASE_MS)
                 .with("zones", ZONES).with("not_in_it", "TCP and IP headers");
         Map<Integer, List<Double>> points = new LinkedHashMap<>();
         add(report, "whole-list", "bytes", runs, (size, seen) -> seen.whole().bytes());
@@ -221,10 +223,11 @@
     private Seen play(int size, DiscoveryServer server, Counter counter, NodeConfig config, EventLoop loop)
             throws Exception {
         AtomicLong told = new AtomicLong();
-        Discovery discovery = loop.submit(() -> new Discovery(loop, config, UnpooledByteBufAllocator.DEFAULT,
-                new Discovery.Listener() {
+        DiscoveryClient discovery = loop.submit(() -> new DiscoveryClient(loop, new Clock()::now,
+                config.discoveryStart(), config::parseList, UnpooledByteBufAllocator.DEFAULT,
+                new DiscoveryClient.Listener() {
                     @Override
-                    public void changed(Roster list) {
+                    public void changed(UpstreamList list) {
                         told.incrementAndGet();
                     }
 
@@ -232,7 +235,7 @@
                     public void callFailed(CallEnd how) {
                         told.addAndGet(1_000_000);
                     }
-                }, Discovery.LONGEST_WAIT_MS)).sync().getNow();
+                })).sync().getNow();
         Passed before = counter.passed();
         loop.submit(discovery::fetch).sync();
         // The first call of a process takes long, and half of it would be counted otherwise.
--- a/src/test/java/cranedeal/node/DiscoveryReturnTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryReturnTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cranedeal.node.discovery.CallEnd;
+import cranedeal.node.discovery.DiscoveryClient;
 import cranedeal.node.discovery.WatchSchedule;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -61,7 +62,7 @@
         private double wakeAt;
 
         Watcher(long seed) {
-            schedule = new WatchSchedule(this, Discovery.LONGEST_WAIT_MS, 1, seed);
+            schedule = new WatchSchedule(this, DiscoveryClient.LONGEST_WAIT_MS, 1, seed);
         }
 
         @Override
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -5,6 +5,8 @@
 
 import cranedeal.LoadBalancer.Change;
 import cranedeal.node.discovery.CallEnd;
+import cranedeal.node.discovery.DiscoveryClient;
+import cranedeal.node.discovery.UpstreamList;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -67,7 +69,7 @@
             started();
             Peer watch = stage.discovery.accept();
             watch.read();
-            Thread.sleep(Discovery.LONGEST_WAIT_MS + CROWDED_MS);
+            Thread.sleep(DiscoveryClient.LONGEST_WAIT_MS + CROWDED_MS);
             watch.write(Stage.ok(Stage.roster(45, false, Stage.entry(0, "127.0.0.1:1", "draining"))));
             assertEquals(Change.DELTA, Script.next(stage.script.changes));
         }
@@ -188,10 +190,12 @@
         try (stage) {
             Files.writeString(file, stage.config());
             LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
-            Discovery discovery = new Discovery(loop, NodeConfig.read(file.toString()),
-                    ByteBufAllocator.DEFAULT, new Discovery.Listener() {
+            NodeConfig config = NodeConfig.read(file.toString());
+            DiscoveryClient discovery = new DiscoveryClient(loop, new Clock()::now, new DiscoveryClient.Start(
+                    config.discovery(), config.known().version(), 1, 100), config::parseList,
+                    ByteBufAllocator.DEFAULT, new DiscoveryClient.Listener() {
                         @Override
-                        public void changed(Roster list) {
+                        public void changed(UpstreamList list) {
                             told.add("version " + list.version());
                         }
 
@@ -199,7 +203,7 @@
                         public void callFailed(CallEnd how) {
                             told.add(how.name());
                         }
-                    }, 100);
+                    });
             loop.execute(() -> discovery.watch(true));
             Peer watch = stage.discovery.accept();
             assertEquals("GET /catalog/members?index=41&wait=100 HTTP/1.1", watch.read().first());
--- a/src/test/java/cranedeal/node/ListBenchmark.java
+++ b/src/test/java/cranedeal/node/ListBenchmark.java
@@ -5,6 +5,7 @@
 import cranedeal.LoadBalancer.Change;
 import cranedeal.lab.slope.ChainSettings;
 import cranedeal.lab.slope.SlopeReport;
+import cranedeal.node.discovery.UpstreamList;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -46,16 +47,16 @@
                 .toArray(String[]::new));
     }
 
-    static Roster parse(byte[] text) throws IOException {
-        return Roster.parse(NodeConfig.JSON.readTree(text), ZONES, KINDS);
+    static UpstreamList parse(byte[] text) throws IOException {
+        return UpstreamList.parse(NodeConfig.JSON.readTree(text), ZONES, KINDS);
     }
 
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
-    private static List<LoadBalancer.Upstream> upstreams(Roster roster) {
-        return roster.members().stream().map(Roster.Member::upstream).toList();
+    private static List<LoadBalancer.Upstream> upstreams(UpstreamList roster) {
+        return roster.members().stream().map(UpstreamList.Member::upstream).toList();
     }
 
     /** A module that has a list of that length. */
@@ -75,7 +76,7 @@
         Map<Integer, ThreadCost.Code> parseChanges = new LinkedHashMap<>();
         for (int size : SIZES) {
             byte[] whole = bytes(list(size));
-            Roster roster = parse(whole);
+            UpstreamList roster = parse(whole);
             LoadBalancer balancer = module(ChainSettings.of(0, 1, 0, 1), size);
             LoadBalancer other = module(ChainSettings.of(0, 1, 0, 1), size);
             byte[] changed = bytes(Stage.roster(42, false, entry(1, "draining", 0)));
--- a/src/test/java/cranedeal/node/StateDirTest.java
+++ b/src/test/java/cranedeal/node/StateDirTest.java
@@ -7,6 +7,7 @@
 import cranedeal.fleet.store.FolderDisk;
 import cranedeal.fleet.store.Limits;
 import cranedeal.fleet.store.Repair;
+import cranedeal.node.discovery.UpstreamList;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -77,7 +78,7 @@
             assertEquals(503, stage.order("GET", "/ops/readiness"));
             assertEquals(200, stage.order("PUT", "/ops/drain/stop"));
             assertEquals(200, stage.order("GET", "/ops/readiness"));
-            assertTrue(stage.script.banned.contains(Roster.number(id(0))), "the module is told");
+            assertTrue(stage.script.banned.contains(UpstreamList.number(id(0))), "the module is told");
             assertEquals(1, stage.script.banned.size());
             assertTrue(stats(stage).contains("orders_unknown=0"));
         }
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -6,6 +6,7 @@
 
 import cranedeal.LoadBalancer.Change;
 import cranedeal.LoadBalancer.Result;
+import cranedeal.node.discovery.UpstreamList;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -432,8 +433,9 @@
             for (String list : new String[] {Stage.roster(1, true, draining, up),
                 full ? Stage.roster(2, true, up)
                         : Stage.roster(2, false, "{\"id\":\"s-00000000\",\"state\":\"removed\"}")}) {
-                Roster roster = Roster.parse(NodeConfig.JSON.readTree(list), config.zones(), config.kinds());
-                loop.submit(() -> client.update(roster)).sync();
+                UpstreamList update = UpstreamList.parse(NodeConfig.JSON.readTree(list), config.zones(),
+                        config.kinds());
+                loop.submit(() -> client.update(update)).sync();
             }
             long giveUpAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Peer.PATIENCE_MS);
             while (loop.submit(client::known).sync().getNow() > 1 && System.nanoTime() < giveUpAt) {
--- a/src/test/java/cranedeal/node/WholeListTest.java
+++ b/src/test/java/cranedeal/node/WholeListTest.java
@@ -6,6 +6,7 @@
 import cranedeal.LatencyWeightedBalancer;
 import cranedeal.LoadBalancer.Change;
 import cranedeal.LoadBalancer.Result;
+import cranedeal.node.discovery.UpstreamList;
 import java.io.IOException;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
@@ -148,7 +149,7 @@
                 }
                 assertEquals(Change.FULL, Script.next(stage.script.changes));
                 assertEquals(1, stage.script.upstreams.size());
-                assertEquals(Roster.number("s-00000001"), stage.script.upstreams.get(0).id());
+                assertEquals(UpstreamList.number("s-00000001"), stage.script.upstreams.get(0).id());
                 // The next call goes on from there.
                 Peer next = ends ? stage.discovery.accept() : watch;
                 assertEquals("GET /catalog/members?index=60&wait=2500 HTTP/1.1", next.read().first());
--- a/src/test/java/cranedeal/node/StartTimesTest.java
+++ b/src/test/java/cranedeal/node/discovery/StartTimesTest.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package cranedeal.node.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
