--- a/src/main/java/cranedeal/lab/slope/DrainCommand.java
+++ b/src/main/java/cranedeal/lab/slope/DrainCommand.java
@@ -24,9 +24,14 @@
 
     @Spec
     private CommandSpec spec;
-    @Option(names = "--trouble", required = true, split = ",", paramLabel = "TROUBLE",
+    @Option(names = "--drawn", description = "Draws troubles, sizes, reloads and restarts by seed instead.")
+    private boolean drawn;
+    @Option(names = "--first", defaultValue = "1", paramLabel = "N",
+            description = "The first seed; default ${DEFAULT-VALUE}.")
+    private int first;
+    @Option(names = "--trouble", split = ",", paramLabel = "TROUBLE",
             description = "What is wrong with discovery: " + DiscoveryTrouble.FORMS + ".")
-    private List<String> troubles;
+    private List<String> troubles = List.of();
     @Option(names = "--upstreams", defaultValue = "3200", paramLabel = "N",
             description = "How many upstreams there are; default ${DEFAULT-VALUE}.")
     private int upstreams;
@@ -40,7 +45,7 @@
             description = "How long requests go on after the change; default ${DEFAULT-VALUE}.")
     private double seconds;
     @Option(names = "--plays", defaultValue = "1", paramLabel = "N",
-            description = "Plays of each trouble, by seeds 1 to N; default ${DEFAULT-VALUE}.")
+            description = "Plays of each trouble, a seed each; default ${DEFAULT-VALUE}.")
     private int plays;
     @Option(names = "--calls", description = "Prints the balancers' lines on discovery too.")
     private boolean calls;
@@ -52,11 +57,18 @@
         if (upstreams < 2 || balancers < 1 || !(rate > 0) || !(seconds > 0) || plays < 1) {
             throw new CommandException(Program.WRONG_USE, "numbers above 0 and two upstreams are wanted");
         }
+        if (drawn != troubles.isEmpty()) {
+            throw new CommandException(Program.WRONG_USE, "either --trouble or --drawn is wanted");
+        }
         boolean held = true;
-        for (String name : troubles) {
-            DiscoveryTrouble trouble = parse(name);
-            for (int seed = 1; seed <= plays; seed++) {
-                held &= play(name, new DrainTrial.Plan(upstreams, balancers, rate, seconds, trouble, seed));
+        for (int seed = first; seed < first + plays; seed++) {
+            if (drawn) {
+                DrainTrial.Plan plan = DrainDraw.plan(seed);
+                held &= play(plan.trouble() + " " + plan.faults(), plan);
+            }
+            for (String name : troubles) {
+                held &= play(name, new DrainTrial.Plan(upstreams, balancers, rate, seconds, parse(name),
+                        List.of(), seed));
             }
         }
         return held ? 0 : 1;
--- a/src/main/java/cranedeal/lab/slope/DrainTrial.java
+++ b/src/main/java/cranedeal/lab/slope/DrainTrial.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -46,9 +47,10 @@
      *
      * @param rate requests a second over all balancers
      * @param afterS how long requests go on after the change, in seconds
+     * @param faults what happens to balancers before it
      */
     record Plan(int upstreams, int balancers, double rate, double afterS, DiscoveryTrouble trouble,
-            long seed) { }
+            List<BalancerFault> faults, long seed) { }
 
     /**
      * What was seen.
@@ -66,11 +68,16 @@
     private final CountingUpstreams upstreams;
     private final DiscoveryServer discovery;
     private final List<InetSocketAddress> listening = new ArrayList<>();
+    private final List<String> command = new ArrayList<>();
+    private final Child[] balancers;
     private volatile long changedAt;
 
     /** Starts all balancers side by side, and returns when they serve. */
     DrainTrial(List<String> program, Plan plan) throws IOException, InterruptedException {
         this.plan = plan;
+        command.addAll(program);
+        command.add("serve");
+        balancers = new Child[plan.balancers()];
         upstreams = new CountingUpstreams(loops, plan.upstreams());
         InetSocketAddress list = DataPathStage.free();
         discovery = new DiscoveryServer(loops.next(), new LabClock(), 0,
@@ -80,29 +87,49 @@
         for (int i = 0; i < plan.upstreams(); i++) {
             discovery.list(DataPathConfig.id(i), i, DataPathConfig.ZONE, DataPathConfig.KIND, 0, 1).sync();
         }
-        List<Child> started = new ArrayList<>();
         for (int i = 0; i < plan.balancers(); i++) {
-            started.add(start(program, list, i));
+            configure(list, i);
+            start(i);
         }
         for (int i = 0; i < plan.balancers(); i++) {
-            awaitListening(started.get(i), listening.get(i));
+            awaitListening(balancers[i], listening.get(i));
         }
     }
 
-    private Child start(List<String> program, InetSocketAddress list, int number)
-            throws IOException, InterruptedException {
+    private void configure(InetSocketAddress list, int number) throws IOException {
         InetSocketAddress listen = DataPathStage.free();
         listening.add(listen);
-        Path config = folder.resolve("config" + number + ".json");
-        Files.writeString(config, DataPathConfig.of(listen, list, DataPathStage.free(),
+        Files.writeString(config(number), DataPathConfig.of(listen, list, DataPathStage.free(),
                 upstreams.addresses(), DataPathConfig.SOCKETS).put("seed", "%016x".formatted(
                         plan.seed() * plan.balancers() + number + 1)).toPrettyString());
-        List<String> command = new ArrayList<>(program);
-        command.add("serve");
-        return warden.start("balancer" + number, command, Map.of("PROXY_CONFIG", config.toString()),
+    }
+
+    private Path config(int number) {
+        return folder.resolve("config" + number + ".json");
+    }
+
+    private void start(int number) throws IOException, InterruptedException {
+        balancers[number] = warden.start("balancer" + number, command,
+                Map.of("PROXY_CONFIG", config(number).toString()),
                 folder.resolve("balancer" + number + ".txt"));
     }
 
+    private void hit(BalancerFault fault) {
+        try {
+            if (fault.kind() == BalancerFault.Kind.RELOAD) {
+                balancers[fault.balancer()].signal("HUP");
+            } else {
+                balancers[fault.balancer()].kill();
+                balancers[fault.balancer()].onExit().join();
+                start(fault.balancer());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void awaitListening(Child balancer, InetSocketAddress listen)
             throws IOException, InterruptedException {
         for (long waited = 0; !listens(listen); waited += LOOK_EVERY_MS) {
@@ -129,6 +156,11 @@
         try {
             clock.schedule(() -> discovery.setPace(plan.trouble().pace()), (long) (WARM_UP_S * MS_PER_S),
                     TimeUnit.MILLISECONDS);
+            for (BalancerFault fault : plan.faults()) {
+                clock.schedule(() -> hit(fault),
+                        (long) ((WARM_UP_S + TROUBLE_S - fault.beforeChangeS()) * MS_PER_S),
+                        TimeUnit.MILLISECONDS);
+            }
             clock.schedule(this::change, (long) ((WARM_UP_S + TROUBLE_S) * MS_PER_S), TimeUnit.MILLISECONDS);
             DataPathClient.Block block = new DataPathClient(loops.next()).play(listening, plan.rate(),
                     WARM_UP_S + TROUBLE_S + plan.afterS(), plan.seed());
