Do not call without end a discovery that does not wait, nor trust one late answer

Found by reading and by drawn troubles, no report of callers. (1) An answer that was outdated, or came without news before its wait was over, was followed by the next call at once: a discovery that has begun anew with lower versions and sends changes only would have been called without end. Now the next call waits for 100 ms, and where discovery doesn't know the version, it is asked for all it has. One answer raises the time to 3 s or to twice what it was, calls sent before that raise it no more, and quick ones lower it by half.

--- a/src/main/java/cranedeal/node/discovery/DiscoveryClient.java
+++ b/src/main/java/cranedeal/node/discovery/DiscoveryClient.java
@@ -232,14 +232,15 @@
             keep(call.channel());
             boolean accepted = schedule.accepts(id, list.version(), list.full());
             figures.ended(call.record(accepted ? CallEnd.ANSWERED : CallEnd.OUTDATED));
-            if (accepted && !tell(list)) {
+            if (!accepted) {
+                schedule.outdated(clock.getAsDouble(), id);
+            } else if (tell(list)) {
+                schedule.answered(clock.getAsDouble(), id, list.version(), !list.members().isEmpty());
+            } else {
                 schedule.failed(clock.getAsDouble(), id);
                 tellFailure(CallEnd.BAD_ANSWER);
-                return;
             }
-            long version = accepted ? list.version() : schedule.version();
-            schedule.answered(clock.getAsDouble(), id, version, !list.members().isEmpty());
-            figures.confirmed(version, schedule.confirmedAt());
+            figures.confirmed(schedule.version(), schedule.confirmedAt());
         }
 
         @Override
--- a/src/main/java/cranedeal/node/discovery/WatchSchedule.java
+++ b/src/main/java/cranedeal/node/discovery/WatchSchedule.java
@@ -39,6 +39,8 @@
     private static final double LONGEST_SPACING_MS = 3_000;
     /** The same once as many are out as may be, so that each takes the place of another. */
     private static final double FULL_SPACING_MS = 4_000;
+    /** The same in times of an answer. */
+    private static final double FULL_SPACING_ANSWERS = 1.5;
     /** The same as a part of the time for which nothing has been heard. */
     private static final double FULL_SPACING_SHARE = 1.0 / 16;
     /** The wait after a failed call, which doubles up to the longest; the least share of it is drawn. */
@@ -46,7 +48,9 @@
     private static final double LONGEST_RETRY_MS = 800;
     private static final double LEAST_SHARE = 0.5;
     /** How much a quicker answer moves the time that answers are taken to need. */
-    private static final double GAIN = 0.25;
+    private static final double GAIN = 0.5;
+    /** One answer makes the time that answers are taken to need no longer than this, or twice what it was. */
+    private static final double SLOW_ANSWER_MS = 3_000;
     private static final int MOST_DOUBLINGS = 10;
 
     /** What the schedule asks for. */
@@ -56,7 +60,7 @@
          * Calls discovery.
          *
          * @param id the call's number, by which events tell of it
-         * @param index the version in use
+         * @param index the version in use, or 0 where discovery is to answer with all it has
          * @param waitMs how long discovery is to wait for news
          */
         void call(long id, long index, int waitMs);
@@ -71,14 +75,15 @@
     private static final class Call {
 
         private final long id;
-        private final long index;
+        /** The version in use as it was sent. */
+        private final long known;
         private final double sentAt;
         private final double waitEnd;
         private double begunAt = Double.NaN;
 
-        Call(long id, long index, double sentAt, int waitMs) {
+        Call(long id, long known, double sentAt, int waitMs) {
             this.id = id;
-            this.index = index;
+            this.known = known;
             this.sentAt = sentAt;
             waitEnd = sentAt + waitMs;
         }
@@ -97,10 +102,14 @@
     private boolean retriesAtOnce;
     private long lastId;
     private long version;
+    /** Whether discovery has shown that it knows nothing of that version, and is asked for all it has. */
+    private boolean versionUnknown;
     private double confirmedAt = Double.NEGATIVE_INFINITY;
     private double boundMs = BOUND_MS;
     /** How long answers take beyond their call's wait; NaN before any has come. */
     private double answerMs = Double.NaN;
+    /** When that was last found to be longer; calls of before tell no more of it. */
+    private double raisedAt = Double.NEGATIVE_INFINITY;
     /** Since the last answer: calls that failed, and further calls. */
     private int failures;
     private int furtherCalls;
@@ -158,34 +167,51 @@
 
     /**
      * Whether the list that answers a call may be taken in. One that is older than the list in use may not,
-     * unless discovery was told of that very list and gave a whole one all the same: it has begun anew.
+     * unless that was in use as the call was sent, and the answer is a whole list: discovery has begun anew.
      */
     public boolean accepts(long id, long answered, boolean full) {
         Call call = find(id);
-        return call != null && (answered >= version || full && call.index == version);
+        return call != null && (answered >= version || full && call.known == version);
     }
 
     /**
-     * A call was answered, and the answer taken in or found to be outdated.
+     * A call was answered, and the answer taken in.
      *
-     * @param answered the version of the list that was taken in, or the one that was in use before
+     * @param answered the version of the list
      * @param news whether the answer had any entries
      */
     public void answered(double now, long id, long answered, boolean news) {
         Call call = find(id);
-        if (call == null) {
-            return;
+        if (call != null) {
+            version = answered;
+            versionUnknown = false;
+            end(call, news, now);
         }
+    }
+
+    /** A call was answered with a list that may not be taken in. */
+    public void outdated(double now, long id) {
+        Call call = find(id);
+        if (call != null) {
+            versionUnknown = call.known == version;
+            end(call, false, now);
+        }
+    }
+
+    private void end(Call call, boolean news, double now) {
         boolean waited = !news && now >= call.waitEnd;
         observe(call, news, now);
         confirmedAt = Math.max(confirmedAt, waited ? call.waitEnd : call.sentAt);
-        version = answered;
         while (out.get(0) != call) {
             actions.giveUp(out.remove(0).id, CallEnd.SUPERSEDED);
         }
         out.remove(0);
         boundMs = BOUND_MS;
         heard();
+        if (!news && !waited) {
+            // Discovery does not wait: asked again at once, it would be asked without end.
+            retryAt = now + FIRST_RETRY_MS;
+        }
         proceed(now);
     }
 
@@ -249,9 +275,13 @@
         if (took < 0) {
             return;
         }
-        if (first || took > answerMs) {
+        if (first) {
             answerMs = took;
-        } else if (!news) {
+        } else if (took > answerMs && call.sentAt >= raisedAt) {
+            // Answers that a cut has held back for long tell nothing of the next ones.
+            answerMs = Math.min(took, Math.max(SLOW_ANSWER_MS, 2 * answerMs));
+            raisedAt = now;
+        } else if (took <= answerMs && !news) {
             answerMs += GAIN * (took - answerMs);
         }
     }
@@ -298,7 +328,8 @@
         double late = first ? LATE_MS
                 : share * doubled(FIRST_SPACING_MS, furtherCalls - 1, LONGEST_SPACING_MS);
         double gap = Math.min(Math.max(late, LATE_ANSWERS * answerMs), LONGEST_GAP_MS - answerMs);
-        return Math.max(call.waitEnd + Math.max(0, gap), call.sentAt + answerMs / 2);
+        return Math.max(call.waitEnd + Math.max(0, gap),
+                call.sentAt + Math.min(answerMs / 2, LONGEST_GAP_MS));
     }
 
     private double expectedAnswerMs() {
@@ -308,7 +339,7 @@
     /** What is given up may still be worked off, and must not be more than discovery can do. */
     private double fullSpacing() {
         double unheard = out.get(out.size() - 1).sentAt - out.get(0).sentAt;
-        double bearable = Math.max(2 * expectedAnswerMs(), FULL_SPACING_SHARE * unheard);
+        double bearable = Math.max(FULL_SPACING_ANSWERS * expectedAnswerMs(), FULL_SPACING_SHARE * unheard);
         return Math.max(bearable, FULL_SPACING_MS * share);
     }
 
@@ -337,7 +368,7 @@
         share = jitter();
         Call call = new Call(++lastId, version, now, waitMs);
         out.add(call);
-        actions.call(call.id, call.index, waitMs);
+        actions.call(call.id, versionUnknown ? 0 : version, waitMs);
     }
 
     private static double doubled(double first, int times, double longest) {
--- a/src/test/java/cranedeal/node/discovery/VirtualDiscovery.java
+++ b/src/test/java/cranedeal/node/discovery/VirtualDiscovery.java
@@ -17,7 +17,7 @@
     private static final long FIRST_VERSION = 41;
 
     /** What becomes of a call. */
-    enum Fate { ANSWERED, SILENT, HALF, CUT, RESET, REFUSED, NOT_CONNECTED }
+    enum Fate { ANSWERED, SILENT, HALF, CUT, RESET, REFUSED, NOT_CONNECTED, HELD }
 
     /**
      * How discovery works.
@@ -43,6 +43,8 @@
     private double now;
     private double busyUntil;
     private long version = FIRST_VERSION;
+    /** When answers come that are held back on the way until then. */
+    double heldUntil;
     long calls;
 
     /** A discovery at a pace; {@code fates} gives what becomes of a call that is sent at a time. */
@@ -116,6 +118,7 @@
             Watcher watcher = call.watcher();
             switch (call.fate()) {
                 case ANSWERED -> watcher.answered(call, told);
+                case HELD -> at(Math.max(now, heldUntil), () -> watcher.answered(call, told));
                 case HALF -> watcher.begun(call.id());
                 case CUT -> {
                     watcher.begun(call.id());
@@ -200,7 +203,11 @@
             for (long each = before + 1; taken && each <= told; each++) {
                 inForce.put(each, now);
             }
-            schedule.answered(now, call.id(), taken ? told : before, told > call.index());
+            if (taken) {
+                schedule.answered(now, call.id(), told, told > call.index());
+            } else {
+                schedule.outdated(now, call.id());
+            }
         }
     }
 }
--- a/src/test/java/cranedeal/node/discovery/WatchScheduleTest.java
+++ b/src/test/java/cranedeal/node/discovery/WatchScheduleTest.java
@@ -34,27 +34,42 @@
         }
     }
 
-    /** Troubles in any order and number until a time, and quick answers from then on. */
+    /** A time of trouble, and what becomes of calls in it. */
+    private record Trouble(double from, double until, List<Fate> fates) {
+
+        static Trouble draw(double after, SplittableRandom random) {
+            double from = after + random.nextDouble(10_000);
+            List<Fate> fates = new ArrayList<>();
+            for (int i = random.nextInt(1, 4); i > 0; i--) {
+                fates.add(Fate.values()[random.nextInt(Fate.values().length)]);
+            }
+            return new Trouble(from, from + random.nextDouble(40_000), fates);
+        }
+
+        boolean isAt(double time) {
+            return time >= from && time < until;
+        }
+    }
+
+    /** Troubles in any order and number, twice, and quick answers between them and from then on. */
     @Test
     void eachProcessHasTheListInTimeOnceDiscoveryCanBeHeard() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            double from = random.nextDouble(10_000);
-            double until = from + random.nextDouble(40_000);
-            Fate[] all = Fate.values();
-            List<Fate> kinds = new ArrayList<>();
-            for (int i = random.nextInt(1, 4); i > 0; i--) {
-                kinds.add(all[random.nextInt(all.length)]);
-            }
-            VirtualDiscovery discovery = new VirtualDiscovery(new Pace(false, random.nextDouble(200)), at ->
-                    at < from || at >= until ? Fate.ANSWERED : kinds.get(random.nextInt(kinds.size())));
+            Trouble first = Trouble.draw(0, random);
+            Trouble second = Trouble.draw(first.until(), random);
+            VirtualDiscovery discovery = new VirtualDiscovery(new Pace(false, random.nextDouble(200)), at -> {
+                Trouble now = first.isAt(at) ? first : second;
+                return now.isAt(at) ? now.fates().get(random.nextInt(now.fates().size())) : Fate.ANSWERED;
+            });
+            discovery.heldUntil = first.until();
+            discovery.at(first.until(), () -> discovery.heldUntil = second.until());
             discovery.start(random.nextInt(1, 31), 3_000, i -> random.nextLong());
             for (int i = random.nextInt(1, 10); i > 0; i--) {
-                discovery.at(random.nextDouble(until + 10_000), discovery::change);
+                discovery.at(random.nextDouble(second.until() + 10_000), discovery::change);
             }
-            discovery.run(until + 40_000);
-            assertInForce(discovery, until, TOLD_MS,
-                    "seed " + seed + " " + kinds + " " + from + " to " + until);
+            discovery.run(second.until() + 40_000);
+            assertInForce(discovery, second.until(), TOLD_MS, "seed " + seed + " " + first + " " + second);
         }
     }
 
@@ -215,11 +230,26 @@
     }
 
     @Test
-    void aDiscoveryThatHasBegunAnewWithLowerVersionsIsBelieved() {
+    void aDiscoveryThatHasBegunAnewWithLowerVersionsIsAskedForAllAndBelieved() {
         schedule.watch(0, true);
         schedule.answered(100, 1, 50, true);
-        assertFalse(schedule.accepts(2, 3, false), "changes since 50 can't end at 3");
         assertTrue(schedule.accepts(2, 3, true));
+        assertFalse(schedule.accepts(2, 3, false), "changes since 50 can't end at 3");
+        schedule.outdated(200, 2);
+        schedule.timer(300);
+        assertEquals("call 3 0 2500", recorder.actions.get(2));
+        assertTrue(schedule.accepts(3, 3, true));
+        schedule.answered(400, 3, 3, true);
+        assertEquals("call 4 3 2500", recorder.actions.get(3));
+    }
+
+    @Test
+    void aDiscoveryThatAnswersWithoutWaitingForNewsIsNotCalledWithoutEnd() {
+        schedule.watch(0, true);
+        schedule.answered(1, 1, 41, false);
+        assertEquals(1, recorder.actions.size());
+        schedule.timer(101);
+        assertEquals("call 2 41 2500", recorder.actions.get(1));
     }
 
     @Test
