Let review case 3 count a broken rule however little was served

A run in which under half of the requests were served ended as not run, though twelve keys had run twice (one run of five). Being served or not is no part of the rule. Now a broken rule counts in any case, and a run without one counts if a quarter was served.

--- a/review/parties/StaleConfiguration.java
+++ b/review/parties/StaleConfiguration.java
@@ -111,7 +111,10 @@
         rig.say("sent " + sent + ", served " + served + ", repeats dropped by their cell " + repeats
                 + "; keys that ran in two cells " + twice.size());
         rig.record("ran twice: " + twice);
-        return served.get() < sent.get() / 2 ? Rig.NOT_RUN : twice.isEmpty() ? Rig.HELD : Rig.BROKEN;
+        if (!twice.isEmpty()) {
+            return Rig.BROKEN;
+        }
+        return served.get() < sent.get() / 4 ? Rig.NOT_RUN : Rig.HELD;
     }
 
     private static boolean answersHealth(String address) {
