--- a/src/test/java/cranedeal/node/NodeFixture.java
+++ b/src/test/java/cranedeal/node/NodeFixture.java
@@ -18,6 +18,8 @@
     final ScriptedBalancer balancer = new ScriptedBalancer();
     final TestServer discovery = new TestServer();
     final List<TestServer> upstreams = new ArrayList<>();
+    /** Addresses of further upstreams, listed behind those that the test acts as. */
+    final List<String> furtherUpstreams = new ArrayList<>();
     private final List<HttpPeer> callers = new ArrayList<>();
     /** Settings that a test may change before it starts the node. */
     int sockets = 1_024;
@@ -76,9 +78,11 @@
     }
 
     String config() {
-        String[] entries = new String[upstreams.size()];
+        List<String> addresses = new ArrayList<>(upstreams.stream().map(TestServer::address).toList());
+        addresses.addAll(furtherUpstreams);
+        String[] entries = new String[addresses.size()];
         for (int i = 0; i < entries.length; i++) {
-            entries[i] = listEntry(i, upstreams.get(i).address(), "up");
+            entries[i] = listEntry(i, addresses.get(i), "up");
         }
         return """
                 {"name":"n0",%s%s"listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
