Log each request that was not served, and measure for how long callers are not read

A request that isn't served now gets a line with its id, its end, how much of its body came, for how long reading was paused, and each attempt's start, first byte and end (30 lines in 10 s, and a count of the rest). Metrics tell the callers that are not read and the longest pause, why attempts were not begun, and more reasons of closes. CallerInput pauses and resumes reading in one place.

With it the reproduction shows the cause: "late2 end=503 ms=10576 body=260969/674254 paused_ms=10483 attempts=[start=0 first_byte=33 CONNECT_FAILED=10575]": the connection wasn't read for all of that time.

--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -50,9 +50,12 @@
 
     final long id;
     /** Name of its service class, and the class as the settings had it when the request arrived. */
-    private final String className;
+    final String className;
     private final ServiceClass serviceClass;
     private final NodeMetrics metrics;
+    private final RequestLog log;
+    /** When it was accepted, in ms of the clock. */
+    final double acceptedAt;
     final FullHttpRequest request;
     /** The body if it is streamed; otherwise null. */
     final Upload upload;
@@ -72,11 +75,13 @@
     private boolean streamStarted;
 
     Exchange(long id, String className, ServiceClass serviceClass, FullHttpRequest request, double deadline,
-            Caller caller, double now, NodeMetrics metrics) {
+            Caller caller, double now, NodeMetrics metrics, RequestLog log) {
         this.id = id;
         this.className = className;
         this.serviceClass = serviceClass;
         this.metrics = metrics;
+        this.log = log;
+        acceptedAt = now;
         this.request = request;
         upload = request instanceof StreamedRequest large ? large.upload : null;
         this.deadline = deadline;
@@ -141,6 +146,9 @@
             return;
         }
         close();
+        if (!status.equals(HttpResponseStatus.OK)) {
+            log.notServed(this, streamStarted ? "broken-off" : status.codeAsText().toString());
+        }
         metrics.requestAnswered(className, streamStarted ? HttpResponseStatus.BAD_GATEWAY : status);
         if (streamStarted) {
             waitingCaller.abort();
@@ -154,6 +162,7 @@
         Caller waitingCaller = caller;
         if (waitingCaller != null && !streamStarted) {
             close();
+            log.notServed(this, status.codeAsText().toString());
             waitingCaller.answer(status, body, 0);
         }
     }
@@ -176,6 +185,12 @@
         waitingCaller.endStream();
     }
 
+    /** Marks that the caller has left without its answer. */
+    void callerLeft() {
+        close();
+        log.notServed(this, "caller-left");
+    }
+
     /** Marks that the caller no longer waits for an answer. */
     void close() {
         if (caller != null) {
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -105,6 +105,7 @@
     private final Node node;
     private final NodeMetrics metrics;
     private final LoopMonitor monitor;
+    private final Clock clock;
     /** Connections whose current request has been read and waits to be handled. */
     private final ArrivalQueue<Connection> requestQueue;
     private RequestParser parser;
@@ -139,6 +140,7 @@
         this.node = node;
         this.metrics = metrics;
         this.monitor = monitor;
+        this.clock = clock;
         requestQueue = new ArrivalQueue<>(clock::now, socketBudget::canOpenUpstream, Connection::handleQueued,
                 Connection::refuseExpired);
         socketBudget.setCallerPool(new SocketBudget.IdlePool() {
@@ -185,9 +187,10 @@
                     protected void initChannel(Channel channel) {
                         RequestAggregator aggregator = new RequestAggregator(UpstreamClient.MAX_BUFFERED_BODY,
                                 MAX_BODY_BYTES, memory);
+                        CallerInput input = new CallerInput(clock::now);
                         RequestDecoder decoder = new RequestDecoder();
-                        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), aggregator,
-                                new Connection(channel, decoder, aggregator));
+                        channel.pipeline().addLast(input, decoder, new HttpResponseEncoder(), aggregator,
+                                new Connection(channel, input, decoder, aggregator));
                     }
                 });
         server.handler(new AcceptGate());
@@ -255,22 +258,29 @@
     /** Closes timed-out connections, so that silent callers do not hold descriptors, and reports metrics. */
     private void sweep() {
         double now = node.now();
+        int paused = 0;
+        double longestPause = 0;
         for (Connection connection : new ArrayList<>(connections)) {
+            paused += connection.input.isPaused() ? 1 : 0;
+            longestPause = Math.max(longestPause, connection.input.pausedMs());
             connection.checkTransfer(now);
             if (connection.isTimedOut(now)) {
                 // When CPU is scarce, the request may have arrived without having been read yet.
                 connection.readNow();
                 if (connection.isTimedOut(now)) {
                     if (connection.served && !connection.hasPartialRequest()) {
+                        metrics.connectionClosed(NodeMetrics.CloseReason.CALLER_IDLE);
                         connection.shutDown();
                     } else {
                         // A caller that sent no whole request needs no graceful close.
                         timedOutCallers++;
+                        metrics.connectionClosed(NodeMetrics.CloseReason.CALLER_TOO_SLOW);
                         connection.channel.close();
                     }
                 }
             }
         }
+        metrics.callerPauses(paused, longestPause);
         metrics.loopDelay(monitor.takeLongestBusy(), requestQueue.takeLongestWait(), requestQueue.size());
         metrics.decisionWork(node.work());
         metrics.descriptorUse(connections.size(), idleConnections.size(), socketBudget.open(),
@@ -436,6 +446,7 @@
         private Exchange exchange;
         /** True while the current request waits in the {@link #requestQueue}. */
         private boolean queued;
+        private final CallerInput input;
         private final RequestDecoder decoder;
         private final RequestAggregator aggregator;
         /** Start of the time without a request; once a request is arriving, the time of its first bytes. */
@@ -454,8 +465,10 @@
         /** True if the streamed answer has a Content-Length or is chunked, rather than ended by the close. */
         private boolean framed;
 
-        Connection(Channel channel, RequestDecoder decoder, RequestAggregator aggregator) {
+        Connection(Channel channel, CallerInput input, RequestDecoder decoder,
+                RequestAggregator aggregator) {
             this.channel = channel;
+            this.input = input;
             this.decoder = decoder;
             this.aggregator = aggregator;
         }
@@ -492,19 +505,21 @@
         /** Aborts an upload whose body has stalled, or a streamed answer that the caller does not read. */
         void checkTransfer(double now) {
             if (current instanceof StreamedRequest large && !large.upload.isComplete() && !closing
-                    && channel.config().isAutoRead() && isTooSlow(now)) {
+                    && !input.isPaused() && isTooSlow(now)) {
                 timedOutCallers++;
+                metrics.connectionClosed(NodeMetrics.CloseReason.CALLER_TOO_SLOW);
                 large.upload.fail(ReadTimeoutException.INSTANCE);
             } else if (onWritable != null && !channel.isWritable()
                     && now > lastProgressAt + UpstreamClient.STALL_TIMEOUT_MS) {
                 timedOutCallers++;
+                metrics.connectionClosed(NodeMetrics.CloseReason.CALLER_NOT_READING);
                 channel.close();
             }
         }
 
         /** Reads what the kernel has buffered, unless reading is paused. */
         void readNow() {
-            if (channel.config().isAutoRead()) {
+            if (!input.isPaused()) {
                 Channels.readNow(channel);
             }
         }
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -98,6 +98,7 @@
     private final SocketBudget sockets;
     private final BufferMemory memory;
     private final NodeMetrics metrics = new NodeMetrics();
+    private final RequestLog requestLog;
     /** The operators' HTTP endpoint; null if none is configured. */
     private final AdminEndpoint admin;
     private volatile boolean serving;
@@ -153,6 +154,7 @@
         this.sharedFolder = sharedFolder;
         this.overrideStore = overrideStore;
         this.memory = memory;
+        requestLog = new RequestLog(clock::now, LOG::info);
         warmStateSaver = config.stateDir() == null ? null
                 : new WarmStateSaver(new WarmStateFile(config.stateDir()), clock);
         sockets = new SocketBudget(config.maxDescriptors()
@@ -719,7 +721,7 @@
         Request request = description.apply(++lastId);
         Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()),
                 config.settings().classes().get(request.serviceClass()), message, request.deadline(), caller,
-                clock.now(), metrics);
+                clock.now(), metrics, requestLog);
         exchanges.put(exchange.id, exchange);
         exchange.receivedAt = clock.now();
         if (exchange.upload == null) {
@@ -795,7 +797,7 @@
     void clientGone(Exchange exchange) {
         if (exchange.isOpen()) {
             boolean streamed = exchange.upload != null || exchange.isStreaming();
-            exchange.close();
+            exchange.callerLeft();
             if (streamed) {
                 abandon(exchange);
             } else {
@@ -890,9 +892,15 @@
         if (number > 0) {
             metrics.requestRetried(exchange.lastResult);
         }
-        if (!exchange.isCallerWaiting(now) || now >= exchange.deadline
-                || number >= config.settings().limits().maxAttempts()
-                || exchange.upload != null && !exchange.upload.isRepeatable()) {
+        NodeMetrics.NotBegunReason notBegun = !exchange.isCallerWaiting(now)
+                ? NodeMetrics.NotBegunReason.CALLER_GONE
+                : now >= exchange.deadline ? NodeMetrics.NotBegunReason.TIME_OVER
+                : number >= config.settings().limits().maxAttempts()
+                ? NodeMetrics.NotBegunReason.ATTEMPTS_USED
+                : exchange.upload != null && !exchange.upload.isRepeatable()
+                ? NodeMetrics.NotBegunReason.BODY_PASSED_ON : null;
+        if (notBegun != null) {
+            metrics.attemptNotBegun(notBegun);
             exchange.attempts.add(null);
             finished(exchange, number, upstream, now, Result.NOT_SENT, null);
             return;
--- a/src/main/java/cranedeal/node/NodeMetrics.java
+++ b/src/main/java/cranedeal/node/NodeMetrics.java
@@ -28,9 +28,15 @@
     /** Why a connection was closed or not accepted. */
     enum CloseReason {
         CALLER_FOR_ROOM, SILENT_CALLER_FOR_ROOM, CALLER_NOT_TAKEN, ACCEPT_FAILED, UPSTREAM_FOR_ROOM,
-        UPSTREAM_IDLE
+        UPSTREAM_IDLE, CALLER_IDLE, CALLER_TOO_SLOW, CALLER_NOT_READING
     }
 
+    /**
+     * Why an attempt that the decision module asked for was not begun: its caller has left, the request's
+     * time or its attempts were used up, or a part of its body was passed on to an earlier attempt.
+     */
+    enum NotBegunReason { CALLER_GONE, TIME_OVER, ATTEMPTS_USED, BODY_PASSED_ON }
+
     /** Why a connection to an upstream could not be established. */
     enum ConnectFailure { NO_DESCRIPTOR, NO_SOCKET, NOT_UP }
 
@@ -61,6 +67,7 @@
     private volatile LoopDelay loopDelay = new LoopDelay(0, 0, 0, 0);
     private volatile Descriptors descriptors = new Descriptors(0, 0, 0, 0);
     private volatile Buffers buffers = new Buffers(0, 0, 0);
+    private volatile Pauses pauses = new Pauses(0, 0);
     private volatile ListInForce list = new ListInForce(0, 0);
     private volatile LoadBalancer.DecisionStats work = LoadBalancer.DecisionStats.NONE;
     private final AtomicLong reloadSuccess = new AtomicLong();
@@ -114,6 +121,9 @@
     /** Direct memory in bytes: in live buffers, its maximum since the start, and what the pool reserved. */
     private record Buffers(long held, long mostHeld, long reserved) { }
 
+    /** Callers that are not read at present, and the longest pause of a request since the start, in ms. */
+    private record Pauses(int paused, double longestMs) { }
+
     /** The version of the list in force, and the time from its arrival until it was in force, in ms. */
     private record ListInForce(long version, double appliedInMs) { }
 
@@ -132,6 +142,11 @@
         buffers = new Buffers(held, Math.max(buffers.mostHeld(), held), reserved);
     }
 
+    /** Sets how many callers are not read at present, and for how many ms at most their requests were not. */
+    void callerPauses(int paused, double longestMs) {
+        pauses = new Pauses(paused, Math.max(pauses.longestMs(), longestMs));
+    }
+
     /** A new list is in force. */
     void listInForce(long version, double tookMs) {
         list = new ListInForce(version, tookMs);
@@ -162,6 +177,11 @@
         increment(why);
     }
 
+    /** An attempt was not begun. */
+    void attemptNotBegun(NotBegunReason why) {
+        increment(why);
+    }
+
     /** A further attempt was requested after the previous one ended with the given result. */
     void requestRetried(LoadBalancer.Result after) {
         increment(after);
@@ -205,6 +225,9 @@
         appendLine(text, "buffers_held_bytes", memory.held());
         appendLine(text, "buffers_held_most_bytes", memory.mostHeld());
         appendLine(text, "buffers_reserved_bytes", memory.reserved());
+        Pauses unread = pauses;
+        appendLine(text, "callers_paused", unread.paused());
+        appendLine(text, "callers_paused_longest_ms", Math.round(unread.longestMs()));
         appendLine(text, "connects", connections.get());
         appendLine(text, "list_version", list.version());
         appendLine(text, "list_in_force_ms", Math.round(list.appliedInMs()));
@@ -219,6 +242,7 @@
         appendCauses(text, "retried_after_", LoadBalancer.Result.values());
         appendCauses(text, "refused_for_", RefusalReason.values());
         appendCauses(text, "failed_for_", FailureReason.values());
+        appendCauses(text, "not_begun_", NotBegunReason.values());
         appendCauses(text, "closed_", CloseReason.values());
         appendCauses(text, "connect_failed_", ConnectFailure.values());
     }
--- a/src/main/java/cranedeal/node/RequestAggregator.java
+++ b/src/main/java/cranedeal/node/RequestAggregator.java
@@ -109,7 +109,8 @@
         if (upload != null) {
             pieces.add(part.content());
         } else if (received > maxBuffered) {
-            upload = new Upload(ctx.channel(), HttpUtil.getContentLength(head, -1L), buffered);
+            upload = new Upload(ctx.pipeline().get(CallerInput.class),
+                    HttpUtil.getContentLength(head, -1L), buffered);
             buffered = null;
             pieces = new PieceCollector(ctx.alloc(), upload::add);
             out.add(new StreamedRequest(head, upload));
--- a/src/main/java/cranedeal/node/Upload.java
+++ b/src/main/java/cranedeal/node/Upload.java
@@ -3,7 +3,6 @@
 import cranedeal.node.memory.BodyBuffer;
 import cranedeal.node.memory.MemoryShortException;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 
 /**
  * A request's body that is streamed because it is too large to be buffered. Its start stays buffered until
@@ -33,7 +32,8 @@
         void onError(Exception cause);
     }
 
-    private final Channel callerChannel;
+    private final CallerInput input;
+    private long received;
     /** Length as the caller declared it; negative if it is not known. */
     final long length;
     /** All of the body that has arrived; null once part of it has been passed on without being kept. */
@@ -45,10 +45,12 @@
     private boolean discarded;
 
     /** Takes ownership of {@code start}, the part of the body that has already arrived. */
-    Upload(Channel callerChannel, long length, BodyBuffer start) {
-        this.callerChannel = callerChannel;
+    Upload(CallerInput input, long length, BodyBuffer start) {
+        this.input = input;
         this.length = length;
         this.buffered = start;
+        received = start.length();
+        input.resetPauses();
     }
 
     /** Sets the listener, and notifies it at once if the body has already ended. */
@@ -66,6 +68,12 @@
         return complete;
     }
 
+    /** Describes how much of the body has arrived, and for how long reading was paused; for the log. */
+    String progress() {
+        return received + "/" + (length < 0 ? "chunked" : length) + " paused_ms="
+                + Math.round(input.pausedMs());
+    }
+
     /** Returns true if another attempt can send the body from its start. */
     boolean isRepeatable() {
         return buffered != null && cause == null;
@@ -73,6 +81,7 @@
 
     /** Adds a chunk that has arrived, and takes ownership of it. */
     void add(ByteBuf chunk) {
+        received += chunk.readableBytes();
         if (discarded || cause != null) {
             chunk.release();
         } else if (sink == null) {
@@ -83,7 +92,7 @@
             }
             boolean added = buffered.add(chunk);
             chunk.release();
-            pause();
+            input.pause();
             if (!added) {
                 fail(new MemoryShortException());
             }
@@ -91,7 +100,7 @@
             releaseBuffered();
             sink.writeChunk(chunk);
             if (!sink.isWritable()) {
-                pause();
+                input.pause();
             }
         }
     }
@@ -135,7 +144,7 @@
         if (sink == oldSink) {
             sink = null;
             if (!complete && !discarded) {
-                pause();
+                input.pause();
             }
         }
     }
@@ -143,7 +152,7 @@
     /** Resumes reading once the attempt can accept more. */
     void sinkWritable() {
         if (sink != null && sink.isWritable()) {
-            callerChannel.config().setAutoRead(true);
+            input.resume();
         }
     }
 
@@ -153,11 +162,7 @@
         sink = null;
         listener = null;
         releaseBuffered();
-        callerChannel.config().setAutoRead(true);
-    }
-
-    private void pause() {
-        callerChannel.config().setAutoRead(false);
+        input.resume();
     }
 
     private void releaseBuffered() {
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -381,6 +381,10 @@
         private boolean neverRan;
         private boolean fullyWritten;
         private boolean ended;
+        /** When it started and ended, in ms of the clock, and its result. */
+        private double startedAt;
+        private double endedAt = Double.NaN;
+        private Result result;
         /** Where a streamed answer goes, once it has started, and when data last moved. */
         private ResponseSink responseSink;
         private double lastProgressAt;
@@ -408,6 +412,7 @@
         }
 
         private void start(Target upstream) {
+            startedAt = clock.now();
             target = upstream;
             if (upstream == null) {
                 end(Result.CONNECT_FAILED, null);
@@ -630,6 +635,16 @@
             return neverRan || Double.isNaN(firstByteAt) ? Double.POSITIVE_INFINITY : firstByteAt;
         }
 
+        /** Describes the attempt for the log, with times in ms since a given one. */
+        String describe(double since) {
+            return (target == null ? "unknown" : target.member.address().toString())
+                    + " start=" + Math.round(startedAt - since)
+                    + (Double.isNaN(firstByteAt) ? "" : " first_byte=" + Math.round(firstByteAt - since))
+                    + (Double.isNaN(connectionIdleMs) ? "" : " reused")
+                    + (fullyWritten ? " written" : "") + (responseSink == null ? "" : " streaming")
+                    + (ended ? " " + result + "=" + Math.round(endedAt - since) : " out");
+        }
+
         /** Cancels the attempt by closing its connection, which lets the upstream know. */
         void cancel() {
             closeAndEnd(Result.CANCELLED);
@@ -639,27 +654,29 @@
          * Closes the connection and ends the attempt, in this order: a retry that the decision module sends
          * in response to the outcome could otherwise overtake the close and run as a second copy.
          */
-        private void closeAndEnd(Result result) {
-            if (markEnded(result)) {
+        private void closeAndEnd(Result endResult) {
+            if (markEnded(endResult)) {
                 if (channel != null) {
                     channel.close();
                 }
-                listener.finished(result, null);
+                listener.finished(endResult, null);
             }
         }
 
-        private void end(Result result, FullHttpResponse response) {
-            if (markEnded(result)) {
-                listener.finished(result, response);
+        private void end(Result endResult, FullHttpResponse response) {
+            if (markEnded(endResult)) {
+                listener.finished(endResult, response);
             }
         }
 
         /** Marks the attempt as ended; returns false if it had ended before. */
-        private boolean markEnded(Result result) {
+        private boolean markEnded(Result endResult) {
             if (ended) {
                 return false;
             }
             ended = true;
+            endedAt = clock.now();
+            result = endResult;
             neverRan = result.neverRan();
             if (timeoutTimer != null) {
                 timeoutTimer.cancel(false);
--- a/src/main/java/cranedeal/node/discovery/DiscoveryMetrics.java
+++ b/src/main/java/cranedeal/node/discovery/DiscoveryMetrics.java
@@ -1,5 +1,6 @@
 package cranedeal.node.discovery;
 
+import cranedeal.node.log.RateLimitedLog;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -33,7 +34,7 @@
     public DiscoveryMetrics(DoubleSupplier clock, long version, Consumer<String> lines) {
         this.clock = clock;
         this.version = version;
-        log = new RateLimitedLog(clock, lines);
+        log = new RateLimitedLog("discovery", clock, lines);
         confirmedAt = clock.getAsDouble();
     }
 
@@ -47,7 +48,7 @@
         inFlight.decrementAndGet();
         bytes.addAndGet(call.bytes());
         ended.incrementAndGet(call.end().ordinal());
-        log.write(call.toLogLine());
+        log.write(call::toLogLine);
     }
 
     /** The list in use has version {@code newVersion}, and was confirmed as the newest at time {@code at}. */
@@ -55,7 +56,8 @@
         maxAge = Math.max(maxAge, age());
         confirmedAt = Math.max(confirmedAt, at);
         if (newVersion != version) {
-            log.write("discovery list version=" + newVersion + " before=" + version);
+            long before = version;
+            log.write(() -> "discovery list version=" + newVersion + " before=" + before);
             version = newVersion;
         }
     }
--- /dev/null
+++ b/src/main/java/cranedeal/node/log/package-info.java
@@ -0,0 +1,2 @@
+/** Logs whose volume is bounded. */
+package cranedeal.node.log;
--- a/src/main/java/cranedeal/node/memory/BodyBuffer.java
+++ b/src/main/java/cranedeal/node/memory/BodyBuffer.java
@@ -53,7 +53,7 @@
     }
 
     /** Returns how many bytes have been collected. */
-    int length() {
+    public int length() {
         return blocks.readableBytes();
     }
 
--- a/src/test/java/cranedeal/node/MemoryPressureTest.java
+++ b/src/test/java/cranedeal/node/MemoryPressureTest.java
@@ -210,7 +210,9 @@
     @Test
     void aBodyThatNoAttemptTakesFailsIfMoreOfItsStartCannotBeHeld() {
         BodyBuffer start = new BodyBuffer(UnpooledByteBufAllocator.DEFAULT, (held, more) -> false);
-        Upload upload = new Upload(new EmbeddedChannel(), -1, start);
+        CallerInput input = new CallerInput(() -> 0);
+        new EmbeddedChannel(input);
+        Upload upload = new Upload(input, -1, start);
         List<Exception> errors = new ArrayList<>();
         upload.setListener(new Upload.Listener() {
             @Override
--- a/src/test/java/cranedeal/node/MemorySoakTest.java
+++ b/src/test/java/cranedeal/node/MemorySoakTest.java
@@ -3,13 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -40,7 +38,6 @@
 
     private volatile boolean ended;
     private final Map<String, Integer> results = new TreeMap<>();
-    private final ConcurrentLinkedQueue<String> errors = new ConcurrentLinkedQueue<>();
 
     /** Guards against a process that stops serving for want of memory, whatever its peers leave open. */
     @Test
@@ -51,7 +48,6 @@
         try (fixture;
                 NodeProcess balancer = new NodeProcess(fixture, fixture.discovery.address(), JVM_OPTIONS,
                         SpreadingNode.class)) {
-            startThread(() -> keepErrors(balancer.process));
             fixture.upstreams.forEach(upstream -> upstream.serveEach(MemoryHog::serve));
             HttpPeer.connectWhenServing(balancer.address, balancer.process).close();
             for (int i = 0; i < PEERS; i++) {
@@ -73,7 +69,8 @@
             int refused = results.getOrDefault("503", 0);
             assertEquals(all, served + refused, results::toString);
             assertTrue(served >= MIN_SERVED_SHARE * all, results::toString);
-            assertEquals(List.of(), errors.stream().filter(line -> line.contains("OutOfMemory")).toList());
+            assertEquals(List.of(), balancer.log().stream()
+                    .filter(line -> line.contains("OutOfMemory")).toList());
         }
     }
 
@@ -83,14 +80,6 @@
         thread.start();
     }
 
-    private void keepErrors(Process process) {
-        try (BufferedReader error = process.errorReader()) {
-            error.lines().forEach(errors::add);
-        } catch (IOException e) {
-            // The process has ended.
-        }
-    }
-
     /** Makes the process hold memory, for a drawn time, again and again. */
     private void hog(NodeProcess balancer, Random random) {
         MemoryHog[] kinds = MemoryHog.values();
--- a/src/test/java/cranedeal/node/NodeProcess.java
+++ b/src/test/java/cranedeal/node/NodeProcess.java
@@ -3,13 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 
 /** The balancer program as a child process, with a configuration file that can be replaced. */
@@ -24,6 +27,7 @@
     final Process process;
     final Path file = Files.createTempFile("node", ".json");
     private final String config;
+    private final ConcurrentLinkedQueue<String> log = new ConcurrentLinkedQueue<>();
 
     /** Starts the process with the configuration of a fixture. */
     NodeProcess(NodeFixture fixture) throws Exception {
@@ -46,6 +50,22 @@
                 .replace("127.0.0.1:0", format(address));
         Files.writeString(file, config.replace(fixture.discovery.address(), discovery));
         process = DrainTest.start(jvmOptions, main, null, file, "serve");
+        Thread reader = new Thread(this::readLog);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void readLog() {
+        try (BufferedReader lines = process.errorReader()) {
+            lines.lines().forEach(log::add);
+        } catch (IOException | UncheckedIOException e) {
+            // The process has ended.
+        }
+    }
+
+    /** Returns the lines that the process has logged so far. */
+    List<String> log() {
+        return List.copyOf(log);
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
--- a/src/test/java/cranedeal/node/PausedCallerTest.java
+++ b/src/test/java/cranedeal/node/PausedCallerTest.java
@@ -104,7 +104,7 @@
                     int timeMs = TIMES_MS[random.nextInt(TIMES_MS.length)];
                     plays.add(() -> late(node, id, bytes, timeMs));
                 }
-                assertEquals(List.of(), playAll(plays));
+                assertEquals(List.of(), playAll(plays), () -> String.join("\n", node.log()));
             }
         } finally {
             servers.forEach(SmallSegmentServer::close);
@@ -157,7 +157,7 @@
                         wrong.add(id + " began " + after + " ms after its caller had left");
                     }
                 }));
-                assertEquals(List.of(), wrong);
+                assertEquals(List.of(), wrong, () -> String.join("\n", node.log()));
             }
         } finally {
             for (AutoCloseable server : servers) {
