Keep time running, and callers in sight, while a body waits for its upstream

Cause: a body was read only as fast as its attempt took it, and before an attempt not beyond its first 64 KiB. Nothing but a stall of 10 s ended such a request, and uploads were exempt from the check that their callers are connected.

Change, by construction rather than by case: - BodyArrival bounds when a caller may have written its last byte: not before the last moment at which all that it had sent was read, and not before the kernel could take it. A caller that is slow itself moves it on. - Bodies are read ahead of their attempts, up to 2 MiB each, and together up to 40% of the direct memory, so that ends are seen. CallerInput tells up to when a caller was known to be connected; no attempt begins over 50 ms after that. - The last bytes of a body go on only after a look for the end behind them: what they complete may run. - Requests with streamed bodies wait for their turn like others, since a late loop began them in the middle of a read, before it had seen the end behind it. The time for which a caller is not read doesn't count as its own slowness. The rest of a connection is read on once a body is complete.

--- a/src/main/java/cranedeal/node/CallerInput.java
+++ b/src/main/java/cranedeal/node/CallerInput.java
@@ -1,23 +1,43 @@
 package cranedeal.node;
 
+import cranedeal.node.channel.Channels;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.function.DoubleSupplier;
 
-/** The reading side of a caller's connection, which is paused while a body's receiver takes no more. */
+/**
+ * The reading side of a caller's connection, which is paused while a body's receiver takes no more. The end of
+ * the connection lies behind all bytes that are not read, so this tells up to when the caller was known to be
+ * connected, and up to when it can't have written the last byte of its body.
+ */
 final class CallerInput extends ChannelInboundHandlerAdapter {
 
+    /** For how many ms a caller is taken for connected after everything that it had sent was read. */
+    static final double MAX_UNSEEN_MS = 50;
+    /** How often to read on in search of the end; each reads some hundred KiB at most. */
+    private static final int MAX_READS = 16;
+
     private final DoubleSupplier clock;
     private Channel channel;
-    /** When reading was paused, in ms of the clock; NaN while the connection is read. */
+    /** The body that is arriving; null if there is none. */
+    private BodyArrival body;
+    /** True while the connection is being read, when it must not be read again. */
+    private boolean reading;
+    private boolean readScheduled;
+    /** When everything that the caller had sent was last known to be read, in ms of the clock. */
+    private double drainedAt;
+    /** When reading was paused, and when it was resumed after that, in ms; NaN while the connection is read. */
     private double pausedAt = Double.NaN;
-    /** For how many ms reading was paused before, since the last {@link #resetPauses}. */
+    private double resumedAt;
+    /** For how many ms reading was paused before, since the body began. */
     private double pausedMs;
 
-    /** Creates the input of the connection whose pipeline it is added to; the clock is in ms. */
+    /** Creates the input of the connection whose pipeline it is added to, as the first; the clock is in ms. */
     CallerInput(DoubleSupplier clock) {
         this.clock = clock;
+        drainedAt = clock.getAsDouble();
+        resumedAt = drainedAt;
     }
 
     @Override
@@ -25,6 +45,69 @@
         channel = ctx.channel();
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+        reading = true;
+        ctx.fireChannelRead(bytes);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        reading = true;
+        var read = channel.unsafe().recvBufAllocHandle();
+        int bytes = read.lastBytesRead();
+        if (bytes == 0) {
+            drained();
+        }
+        ctx.fireChannelReadComplete();
+        reading = false;
+        if (body != null && bytes > 0 && bytes < read.attemptedBytesRead()) {
+            // Only a read that finds nothing shows that nothing is left, as reads may be short.
+            scheduleRead();
+        }
+    }
+
+    private void drained() {
+        drainedAt = clock.getAsDouble();
+        if (body != null) {
+            body.drained(drainedAt);
+        }
+    }
+
+    private void scheduleRead() {
+        if (!readScheduled) {
+            readScheduled = true;
+            afterRead(() -> {
+                readScheduled = false;
+                if (body != null) {
+                    read();
+                }
+            });
+        }
+    }
+
+    /** Returns the time in ms of the clock. */
+    double now() {
+        return clock.getAsDouble();
+    }
+
+    /** Runs a task after the current read of the connection. */
+    void afterRead(Runnable task) {
+        channel.eventLoop().execute(task);
+    }
+
+    /** A body has begun, of which there is more to come. */
+    void bodyStarted(BodyArrival arriving) {
+        body = arriving;
+        pausedMs = 0;
+    }
+
+    /** No more of the body will come, or be used; what comes behind it is read. */
+    void bodyEnded() {
+        body = null;
+        resume();
+    }
+
     void pause() {
         if (!isPaused()) {
             pausedAt = clock.getAsDouble();
@@ -33,8 +116,11 @@
     }
 
     void resume() {
-        pausedMs = pausedMs();
-        pausedAt = Double.NaN;
+        if (isPaused()) {
+            pausedMs = pausedMs();
+            pausedAt = Double.NaN;
+            resumedAt = clock.getAsDouble();
+        }
         channel.config().setAutoRead(true);
     }
 
@@ -42,13 +128,45 @@
         return !Double.isNaN(pausedAt);
     }
 
-    /** Returns for how many ms reading has been paused since the last {@link #resetPauses}. */
+    /** Returns for how many ms the body was not read. */
     double pausedMs() {
         return pausedMs + (isPaused() ? clock.getAsDouble() - pausedAt : 0);
     }
 
-    /** Counts pauses anew, from the start of a body. */
-    void resetPauses() {
-        pausedMs = 0;
+    /** Returns when reading was last resumed, in ms of the clock. */
+    double resumedAt() {
+        return resumedAt;
+    }
+
+    /** Reads what the kernel has, unless reading is paused or in progress. */
+    void read() {
+        if (!isPaused() && !reading) {
+            Channels.readNow(channel);
+        }
+    }
+
+    /** The same, where reading is paused too, by one read at most: tells if anything is there. */
+    void readOnce() {
+        if (!reading) {
+            Channels.readNow(channel);
+        }
+    }
+
+    /**
+     * Reads until nothing is left, unless reading is paused, and returns false if the connection has ended as
+     * far as is seen.
+     */
+    boolean isOpen() {
+        double before = drainedAt;
+        for (int i = 0; i < MAX_READS && channel.isActive() && !isPaused() && !reading
+                && drainedAt == before; i++) {
+            Channels.readNow(channel);
+        }
+        return channel.isActive();
+    }
+
+    /** Returns true if the caller is known to be connected: not if its end may lie behind unread bytes. */
+    boolean isKnownOpen() {
+        return isOpen() && clock.getAsDouble() <= drainedAt + MAX_UNSEEN_MS;
     }
 }
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -19,7 +19,7 @@
      */
     interface Caller extends ResponseSink {
 
-        /** Reads the caller's connection and returns true if it is still up; not to be called in a read. */
+        /** Returns true if the caller is known to be connected, as far as can be read. */
         boolean isConnected();
 
         /**
@@ -122,15 +122,17 @@
 
     /**
      * Returns true if the caller still waits for an answer, also checking that it has not disconnected while
-     * this process was busy. The connection of a streamed body is not checked: it is being read, or reading
-     * is paused.
+     * this process was busy. Returns false too if that can't be seen, as the connection is not being read.
      */
     boolean isCallerWaiting(double now) {
-        if (!isOpen() || upload != null || now <= connectedCheckedAt + CONNECTED_CHECK_INTERVAL_MS) {
+        if (!isOpen() || now <= connectedCheckedAt + CONNECTED_CHECK_INTERVAL_MS) {
             return isOpen();
         }
-        connectedCheckedAt = now;
-        return caller.isConnected();
+        boolean connected = caller.isConnected();
+        if (connected) {
+            connectedCheckedAt = now;
+        }
+        return connected;
     }
 
     /** Returns by how many ms this process delayed an attempt before its request was written. */
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -266,7 +266,7 @@
             connection.checkTransfer(now);
             if (connection.isTimedOut(now)) {
                 // When CPU is scarce, the request may have arrived without having been read yet.
-                connection.readNow();
+                connection.input.read();
                 if (connection.isTimedOut(now)) {
                     if (connection.served && !connection.hasPartialRequest()) {
                         metrics.connectionClosed(NodeMetrics.CloseReason.CALLER_IDLE);
@@ -354,7 +354,7 @@
         }
         for (Connection connection : new ArrayList<>(connections)) {
             // A request that is still unread in the kernel would be lost with its connection.
-            connection.readNow();
+            connection.input.read();
             // A connection whose request is arriving keeps the usual timeouts.
             if (connection.isIdle() && !connection.hasPartialRequest() && !connection.awaitsFirstRequest()) {
                 connection.shutDown();
@@ -390,7 +390,7 @@
                 return false;
             }
             // A request may have arrived that has not been read yet.
-            connection.readNow();
+            connection.input.read();
             if (connection.isEvictable()) {
                 metrics.connectionClosed(NodeMetrics.CloseReason.CALLER_FOR_ROOM);
                 connection.shutDown();
@@ -414,7 +414,7 @@
             if (connection.idleSince > latestOpenedAt) {
                 return false;
             }
-            connection.readNow();
+            connection.input.read();
             // A connection whose request is arriving keeps the usual timeouts.
             unserved.remove(connection);
             if (connection.isIdle() && !connection.served && !connection.hasPartialRequest()) {
@@ -492,20 +492,21 @@
         }
 
         boolean isTimedOut(double now) {
-            return isIdle() && (hasPartialRequest() ? isTooSlow(now)
+            return isIdle() && (hasPartialRequest() ? isTooSlow(now, 0)
                     : now > idleSince + (served ? IDLE_TIMEOUT_MS : REQUEST_TIMEOUT_MS));
         }
 
-        private boolean isTooSlow(double now) {
-            return now > idleSince + REQUEST_TIMEOUT_MS
-                    && (now > idleSince + REQUEST_TIMEOUT_MS + aggregator.received() / MIN_BYTES_PER_MS
-                            || now > lastProgressAt + BODY_STALL_TIMEOUT_MS);
+        /** Returns true if a request arrives too slowly, not counting the ms for which it was not read. */
+        private boolean isTooSlow(double now, double pausedMs) {
+            double timeoutAt = idleSince + pausedMs + REQUEST_TIMEOUT_MS;
+            return now > timeoutAt && (now > timeoutAt + aggregator.received() / MIN_BYTES_PER_MS
+                    || now > Math.max(lastProgressAt, input.resumedAt()) + BODY_STALL_TIMEOUT_MS);
         }
 
         /** Aborts an upload whose body has stalled, or a streamed answer that the caller does not read. */
         void checkTransfer(double now) {
             if (current instanceof StreamedRequest large && !large.upload.isComplete() && !closing
-                    && !input.isPaused() && isTooSlow(now)) {
+                    && !input.isPaused() && isTooSlow(now, input.pausedMs())) {
                 timedOutCallers++;
                 metrics.connectionClosed(NodeMetrics.CloseReason.CALLER_TOO_SLOW);
                 large.upload.fail(ReadTimeoutException.INSTANCE);
@@ -517,13 +518,6 @@
             }
         }
 
-        /** Reads what the kernel has buffered, unless reading is paused. */
-        void readNow() {
-            if (!input.isPaused()) {
-                Channels.readNow(channel);
-            }
-        }
-
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             // The timeout of the first request counts from the start of the connection.
@@ -586,14 +580,9 @@
             exchange = null;
             idleConnections.remove(this);
             unserved.remove(this);
-            if (current instanceof StreamedRequest) {
-                // The body keeps arriving and needs its listener now.
-                handle(current);
-            } else {
-                queued = true;
-                if (requestQueue.add(this)) {
-                    loop.execute(Frontend.this::handleSlice);
-                }
+            queued = true;
+            if (requestQueue.add(this)) {
+                loop.execute(Frontend.this::handleSlice);
             }
         }
 
@@ -604,13 +593,17 @@
             }
             queued = false;
             try {
-                if (isConnected()) {
+                if (input.isOpen()) {
                     handle(current);
+                } else {
+                    // The event loop reports the end of the connection only later.
+                    dropRequests();
                 }
             } catch (RuntimeException e) {
                 Node.LOG.log(Level.SEVERE, "failed to handle a request", e);
                 if (current != null) {
                     metrics.failed(NodeMetrics.FailureReason.HANDLER_ERROR);
+                    discardUpload(current);
                     writeAnswer(HttpResponseStatus.INTERNAL_SERVER_ERROR, Unpooled.EMPTY_BUFFER, 0);
                 }
             }
@@ -642,6 +635,7 @@
         private void refuseOverloaded(NodeMetrics.RefusalReason reason) {
             String name = RequestParser.className(current);
             metrics.requestRefused(reason);
+            discardUpload(current);
             if (parser.hasClass(name)) {
                 metrics.requestAnswered(name, HttpResponseStatus.SERVICE_UNAVAILABLE);
             }
@@ -650,12 +644,12 @@
 
         @Override
         public boolean isConnected() {
-            readNow();
+            boolean known = input.isKnownOpen();
             if (!channel.isActive()) {
                 // The event loop reports the end of the connection only later.
                 dropRequests();
             }
-            return channel.isActive();
+            return known;
         }
 
         /** Drops the requests of a caller that has disconnected. */
@@ -688,7 +682,8 @@
             }
             try {
                 RequestParser.Template template = parser.parse(request, currentArrivedAt);
-                Exchange started = node.acceptRequest(template::withId, request.retain(), this);
+                Exchange started = node.acceptRequest(template::withId, request.retain(), this,
+                        currentArrivedAt);
                 // The request may already be answered, and the next one started.
                 if (started.isOpen()) {
                     exchange = started;
@@ -700,6 +695,7 @@
 
         private void reject(HttpResponseStatus status, String reason) {
             malformedRequests++;
+            discardUpload(current);
             writeAnswer(status, Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8), 0);
         }
 
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -62,7 +62,8 @@
     private static final long DRAIN_CHECK_MS = 10;
     /** How often to check the state of the other process of this balancer. */
     private static final long PROCESS_CHECK_MS = 250;
-    private static final long BODY_CHECK_MS = 1_000;
+    /** Minimum interval between checks of a body that is arriving. */
+    private static final double MIN_BODY_CHECK_MS = 10;
     private static final double LOG_INTERVAL_MS = 10_000;
     /** Upper bound of the number of upstreams remembered in {@link #everListed}. */
     private static final int MAX_KNOWN_UPSTREAMS = 10_000;
@@ -715,9 +716,13 @@
         metrics.upstreamCounts(upstreams.listedCount(), balancer.excludedUpstreams());
     }
 
-    /** Accepts a request; the node takes over the caller's reference to {@code message}. */
+    /**
+     * Accepts a request; the node takes over the caller's reference to {@code message}.
+     *
+     * @param arrivedAt when its head arrived, in ms of the clock
+     */
     Exchange acceptRequest(Function<Long, Request> description, FullHttpRequest message,
-            Exchange.Caller caller) {
+            Exchange.Caller caller, double arrivedAt) {
         Request request = description.apply(++lastId);
         Exchange exchange = new Exchange(request.id(), config.classes().get(request.serviceClass()),
                 config.settings().classes().get(request.serviceClass()), message, request.deadline(), caller,
@@ -728,6 +733,7 @@
             watch(exchange);
             notifyModule(exchange, () -> balancer.request(clock.now(), request));
         } else {
+            exchange.upload.startClock(arrivedAt, request.deadline() - arrivedAt);
             receiveBody(exchange, request);
         }
         return exchange;
@@ -735,43 +741,83 @@
 
     /** Accepts a request whose body is streamed: its deadline counts from the last byte of the body. */
     private void receiveBody(Exchange exchange, Request request) {
-        double timeLeft = request.deadline() - exchange.receivedAt;
-        watch(exchange);
         exchange.deadline = Double.POSITIVE_INFINITY;
         exchange.receivedAt = Double.NaN;
-        notifyModule(exchange, () -> balancer.requestStarted(clock.now(), request));
-        exchange.upload.setListener(new Upload.Listener() {
-            @Override
-            public void onComplete() {
-                if (!exchange.isOpen()) {
-                    return;
-                }
-                exchange.receivedAt = clock.now();
-                exchange.deadline = clock.now() + timeLeft;
-                exchange.deadlineTimer.cancel(false);
-                watch(exchange);
-                exchange.attempts.stream().filter(Objects::nonNull)
-                        .forEach(attempt -> attempt.setDeadline(exchange.deadline));
-                notifyModule(exchange,
-                        () -> balancer.bodyArrived(clock.now(), exchange.id, exchange.deadline));
+        watchBody(exchange);
+        // The body may already be complete, or malformed.
+        exchange.upload.setListener(new BodyListener(exchange));
+        if (!exchange.isOpen()) {
+            return;
+        }
+        notifyModule(exchange, Double.isNaN(exchange.receivedAt)
+                ? () -> balancer.requestStarted(clock.now(), request)
+                : () -> balancer.request(clock.now(), request));
+    }
+
+    /** Handles the end of a request's streamed body. */
+    private final class BodyListener implements Upload.Listener {
+
+        private final Exchange exchange;
+
+        BodyListener(Exchange exchange) {
+            this.exchange = exchange;
+        }
+
+        @Override
+        public void onComplete() {
+            if (!exchange.isOpen()) {
+                return;
             }
+            exchange.receivedAt = clock.now();
+            applyBodyDeadline(exchange);
+            notifyModule(exchange, () -> balancer.bodyArrived(clock.now(), exchange.id, exchange.deadline));
+        }
 
-            @Override
-            public void onError(Exception cause) {
-                if (!exchange.isOpen() || exchange.isStreaming()) {
-                    return;
-                }
-                if (cause instanceof MemoryShortException) {
-                    metrics.requestRefused(NodeMetrics.RefusalReason.MEMORY);
-                    exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER,
-                            frontend.overloadRetryAfter());
-                } else {
-                    frontend.countBadRequest();
-                    exchange.reject(Frontend.errorStatus(cause), Unpooled.EMPTY_BUFFER);
-                }
-                abandon(exchange);
+        @Override
+        public void onError(Exception cause) {
+            if (!exchange.isOpen() || exchange.isStreaming()) {
+                return;
             }
-        });
+            if (cause instanceof MemoryShortException) {
+                metrics.requestRefused(NodeMetrics.RefusalReason.MEMORY);
+                exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER,
+                        frontend.overloadRetryAfter());
+            } else {
+                frontend.countBadRequest();
+                exchange.reject(Frontend.errorStatus(cause), Unpooled.EMPTY_BUFFER);
+            }
+            abandon(exchange);
+        }
+    }
+
+    /** Schedules the check that the body of a request arrives while its caller may wait. */
+    private void watchBody(Exchange exchange) {
+        double next = Math.max(exchange.upload.deadline(), clock.now() + MIN_BODY_CHECK_MS);
+        exchange.deadlineTimer = loop.schedule(() -> checkBody(exchange), clock.nanosUntil(next),
+                TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Ends a request whose body was not read to its end in time, since attempts didn't take it: its caller
+     * may have written all of it long ago, and waits.
+     */
+    private void checkBody(Exchange exchange) {
+        exchange.upload.updateDeadline();
+        boolean arriving = exchange.isOpen() && Double.isNaN(exchange.receivedAt);
+        if (arriving && clock.now() < exchange.upload.deadline()) {
+            watchBody(exchange);
+        } else if (arriving) {
+            applyBodyDeadline(exchange);
+        }
+    }
+
+    /** Sets the deadline of a request with a streamed body, and that of its attempts. */
+    private void applyBodyDeadline(Exchange exchange) {
+        exchange.deadline = exchange.upload.deadline();
+        exchange.deadlineTimer.cancel(false);
+        watch(exchange);
+        exchange.attempts.stream().filter(Objects::nonNull)
+                .forEach(attempt -> attempt.setDeadline(exchange.deadline));
     }
 
     /** Schedules the check that a request was answered by shortly after its deadline. */
@@ -783,11 +829,7 @@
 
     /** Fails a request that the module has left unanswered past its deadline. */
     private void overdue(Exchange exchange) {
-        if (exchange.isOpen() && Double.isNaN(exchange.receivedAt) && exchange.attemptsInFlight > 0) {
-            // An attempt is sending the body, and its own timeout ends it if that makes no progress.
-            exchange.deadlineTimer = loop.schedule(() ->
-                    overdue(exchange), BODY_CHECK_MS, TimeUnit.MILLISECONDS);
-        } else if (exchange.isOpen()) {
+        if (exchange.isOpen()) {
             LOG.warning("the decision module left a request unanswered");
             fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT, NodeMetrics.FailureReason.DEADLINE);
         }
@@ -892,13 +934,7 @@
         if (number > 0) {
             metrics.requestRetried(exchange.lastResult);
         }
-        NodeMetrics.NotBegunReason notBegun = !exchange.isCallerWaiting(now)
-                ? NodeMetrics.NotBegunReason.CALLER_GONE
-                : now >= exchange.deadline ? NodeMetrics.NotBegunReason.TIME_OVER
-                : number >= config.settings().limits().maxAttempts()
-                ? NodeMetrics.NotBegunReason.ATTEMPTS_USED
-                : exchange.upload != null && !exchange.upload.isRepeatable()
-                ? NodeMetrics.NotBegunReason.BODY_PASSED_ON : null;
+        NodeMetrics.NotBegunReason notBegun = notBegunReason(exchange, number, now);
         if (notBegun != null) {
             metrics.attemptNotBegun(notBegun);
             exchange.attempts.add(null);
@@ -925,6 +961,22 @@
         exchange.attempts.add(upstreams.send(upstream, exchange.request, until, exchange.deadline, listener));
     }
 
+    /** Returns why the next attempt of a request must not begin; null if it may. */
+    private NodeMetrics.NotBegunReason notBegunReason(Exchange exchange, int number, double now) {
+        if (!exchange.isCallerWaiting(now)) {
+            return exchange.isOpen() ? NodeMetrics.NotBegunReason.CALLER_UNSEEN
+                    : NodeMetrics.NotBegunReason.CALLER_GONE;
+        }
+        if (now >= exchange.deadline) {
+            return NodeMetrics.NotBegunReason.TIME_OVER;
+        }
+        if (number >= config.settings().limits().maxAttempts()) {
+            return NodeMetrics.NotBegunReason.ATTEMPTS_USED;
+        }
+        return exchange.upload != null && !exchange.upload.isRepeatable()
+                ? NodeMetrics.NotBegunReason.BODY_PASSED_ON : null;
+    }
+
     @Override
     public void refuse(long requestId, double retryAfter) {
         answer(requestId, HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter);
--- a/src/main/java/cranedeal/node/NodeMetrics.java
+++ b/src/main/java/cranedeal/node/NodeMetrics.java
@@ -32,10 +32,11 @@
     }
 
     /**
-     * Why an attempt that the decision module asked for was not begun: its caller has left, the request's
-     * time or its attempts were used up, or a part of its body was passed on to an earlier attempt.
+     * Why an attempt that the decision module asked for was not begun: its caller has left, or may have left
+     * unseen behind bytes that are not read, the request's time or its attempts were used up, or a part of
+     * its body was passed on to an earlier attempt.
      */
-    enum NotBegunReason { CALLER_GONE, TIME_OVER, ATTEMPTS_USED, BODY_PASSED_ON }
+    enum NotBegunReason { CALLER_GONE, CALLER_UNSEEN, TIME_OVER, ATTEMPTS_USED, BODY_PASSED_ON }
 
     /** Why a connection to an upstream could not be established. */
     enum ConnectFailure { NO_DESCRIPTOR, NO_SOCKET, NOT_UP }
--- a/src/main/java/cranedeal/node/RequestAggregator.java
+++ b/src/main/java/cranedeal/node/RequestAggregator.java
@@ -110,7 +110,7 @@
             pieces.add(part.content());
         } else if (received > maxBuffered) {
             upload = new Upload(ctx.pipeline().get(CallerInput.class),
-                    HttpUtil.getContentLength(head, -1L), buffered);
+                    new BodyArrival(HttpUtil.getContentLength(head, -1L)), buffered, memory);
             buffered = null;
             pieces = new PieceCollector(ctx.alloc(), upload::add);
             out.add(new StreamedRequest(head, upload));
@@ -119,8 +119,7 @@
         }
         if (part instanceof LastHttpContent) {
             if (upload != null) {
-                pieces.flush();
-                upload.end();
+                upload.end(pieces.take());
             }
             reset();
         }
--- a/src/main/java/cranedeal/node/Upload.java
+++ b/src/main/java/cranedeal/node/Upload.java
@@ -1,16 +1,23 @@
 package cranedeal.node;
 
 import cranedeal.node.memory.BodyBuffer;
+import cranedeal.node.memory.HoldLimit;
 import cranedeal.node.memory.MemoryShortException;
 import io.netty.buffer.ByteBuf;
 
 /**
  * A request's body that is streamed because it is too large to be buffered. Its start stays buffered until
- * more of the body has been passed on; up to then another attempt can send it. The caller's connection is
- * read only while an attempt accepts data.
+ * more of the body has been passed on; up to then another attempt can send it. The body is read ahead of the
+ * attempt within bounds, so that the end of the caller's connection is seen; beyond them the connection is
+ * read only while the attempt accepts data.
  */
 final class Upload {
 
+    /** Largest start that stays buffered for another attempt once it has been passed on, in bytes. */
+    private static final int MAX_REPEATABLE_BYTES = 128 << 10;
+    /** Largest chunk that is passed on, in bytes, so that an attempt's progress shows. */
+    private static final int MAX_CHUNK_BYTES = 16 << 10;
+
     /** Receives the body. */
     interface Sink {
 
@@ -33,24 +40,34 @@
     }
 
     private final CallerInput input;
-    private long received;
-    /** Length as the caller declared it; negative if it is not known. */
-    final long length;
+    private final HoldLimit memory;
+    private final BodyArrival arrival;
+    /** The request's time, which counts from the last byte of the body, in ms. */
+    private double timeAllowed = Double.POSITIVE_INFINITY;
     /** All of the body that has arrived; null once part of it has been passed on without being kept. */
     private BodyBuffer buffered;
     private Sink sink;
     private Listener listener;
     private boolean complete;
+    /** The end of a complete body while it is checked that the caller is still there; null otherwise. */
+    private ByteBuf lastChunk;
     private Exception cause;
     private boolean discarded;
 
-    /** Takes ownership of {@code start}, the part of the body that has already arrived. */
-    Upload(CallerInput input, long length, BodyBuffer start) {
+    /**
+     * Creates an upload.
+     *
+     * @param arrival says how much has arrived
+     * @param start the part of the body that has arrived, which the upload takes over
+     * @param memory limits how much is read ahead
+     */
+    Upload(CallerInput input, BodyArrival arrival, BodyBuffer start, HoldLimit memory) {
         this.input = input;
-        this.length = length;
+        this.arrival = arrival;
         this.buffered = start;
-        received = start.length();
-        input.resetPauses();
+        this.memory = memory;
+        arrival.read(start.length(), input.now());
+        input.bodyStarted(arrival);
     }
 
     /** Sets the listener, and notifies it at once if the body has already ended. */
@@ -63,6 +80,32 @@
         }
     }
 
+    /**
+     * Sets the request's time.
+     *
+     * @param arrivedAt when the head arrived, in ms of the clock
+     * @param newTimeAllowed the time from the last byte of the body to the answer, in ms
+     */
+    void startClock(double arrivedAt, double newTimeAllowed) {
+        arrival.started(arrivedAt);
+        timeAllowed = newTimeAllowed;
+    }
+
+    /** Returns when the caller's time may be over, in ms of the clock; later while the caller sends slowly. */
+    double deadline() {
+        return arrival.earliestEnd() + timeAllowed;
+    }
+
+    /** Reads on once, also where reading is paused, as the deadline is later if the caller has sent nothing. */
+    void updateDeadline() {
+        input.readOnce();
+    }
+
+    /** Returns the length as the caller declared it; negative if it is not known. */
+    long length() {
+        return arrival.length();
+    }
+
     /** Returns true if the whole body has arrived. */
     boolean isComplete() {
         return complete;
@@ -70,7 +113,7 @@
 
     /** Describes how much of the body has arrived, and for how long reading was paused; for the log. */
     String progress() {
-        return received + "/" + (length < 0 ? "chunked" : length) + " paused_ms="
+        return arrival.received() + "/" + (length() < 0 ? "chunked" : length()) + " paused_ms="
                 + Math.round(input.pausedMs());
     }
 
@@ -81,43 +124,80 @@
 
     /** Adds a chunk that has arrived, and takes ownership of it. */
     void add(ByteBuf chunk) {
-        received += chunk.readableBytes();
+        arrival.read(chunk.readableBytes(), input.now());
         if (discarded || cause != null) {
             chunk.release();
         } else if (sink == null) {
-            if (buffered == null) {
-                // The attempt that sent the start has ended, so no attempt can use this chunk.
-                chunk.release();
-                return;
-            }
-            boolean added = buffered.add(chunk);
-            chunk.release();
-            input.pause();
-            if (!added) {
-                fail(new MemoryShortException());
-            }
+            hold(chunk);
         } else {
             releaseBuffered();
             sink.writeChunk(chunk);
-            if (!sink.isWritable()) {
+            if (sink != null && !sink.isWritable()) {
                 input.pause();
             }
         }
     }
 
-    void end() {
+    /** Keeps a chunk for the next attempt. */
+    private void hold(ByteBuf chunk) {
+        if (buffered == null) {
+            // The attempt that sent the start has ended, so no attempt can use this chunk.
+            chunk.release();
+            return;
+        }
+        boolean added = buffered.add(chunk);
+        chunk.release();
+        if (!added) {
+            fail(new MemoryShortException());
+        } else if (!memory.mayReadAhead(buffered.length())) {
+            input.pause();
+        }
+    }
+
+    /** Ends the body, which is complete with its last chunk; takes ownership of the chunk. */
+    void end(ByteBuf last) {
+        if (sink == null) {
+            add(last.retain());
+        } else {
+            arrival.read(last.readableBytes(), input.now());
+        }
         if (discarded || cause != null) {
+            last.release();
             return;
         }
         complete = true;
-        if (sink != null) {
-            sink.endBody();
+        input.bodyEnded();
+        if (sink == null) {
+            last.release();
+        } else {
+            if (last.isReadable()) {
+                releaseBuffered();
+            }
+            lastChunk = last;
+            input.afterRead(this::passOnEnd);
         }
         if (listener != null) {
             listener.onComplete();
         }
     }
 
+    /** Passes on the end of the body, from which on the request may run, if the caller has not left. */
+    private void passOnEnd() {
+        ByteBuf last = lastChunk;
+        lastChunk = null;
+        if (last == null) {
+            return;
+        }
+        if (sink == null || !input.isOpen() || sink == null) {
+            last.release();
+            return;
+        }
+        sink.writeChunk(last);
+        if (sink != null) {
+            sink.endBody();
+        }
+    }
+
     void fail(Exception failure) {
         if (discarded || complete || cause != null) {
             return;
@@ -132,10 +212,20 @@
     /** Sends the body to an attempt, which must be the only one attached. */
     void attach(Sink newSink) {
         sink = newSink;
-        newSink.writeChunk(buffered.duplicate());
+        ByteBuf start = buffered.duplicate();
+        while (start.isReadable()) {
+            newSink.writeChunk(start.readRetainedSlice(Math.min(MAX_CHUNK_BYTES, start.readableBytes())));
+        }
+        start.release();
+        if (sink != newSink) {
+            return;
+        }
         if (complete) {
             newSink.endBody();
         }
+        if (buffered.length() > MAX_REPEATABLE_BYTES) {
+            releaseBuffered();
+        }
         sinkWritable();
     }
 
@@ -143,7 +233,8 @@
     void detach(Sink oldSink) {
         if (sink == oldSink) {
             sink = null;
-            if (!complete && !discarded) {
+            releaseLastChunk();
+            if (!complete && !discarded && buffered != null && !memory.mayReadAhead(buffered.length())) {
                 input.pause();
             }
         }
@@ -158,11 +249,14 @@
 
     /** Discards the body, including what still arrives of it. */
     void discard() {
+        if (!discarded && !complete) {
+            input.bodyEnded();
+        }
         discarded = true;
         sink = null;
         listener = null;
         releaseBuffered();
-        input.resume();
+        releaseLastChunk();
     }
 
     private void releaseBuffered() {
@@ -171,4 +265,11 @@
             buffered = null;
         }
     }
+
+    private void releaseLastChunk() {
+        if (lastChunk != null) {
+            lastChunk.release();
+            lastChunk = null;
+        }
+    }
 }
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -388,6 +388,8 @@
         /** Where a streamed answer goes, once it has started, and when data last moved. */
         private ResponseSink responseSink;
         private double lastProgressAt;
+        /** Chunks of a streamed body that the kernel has not taken yet. */
+        private int unwrittenChunks;
 
         private Attempt(FullHttpRequest request, boolean probe, double latestTimeoutAt, Listener listener) {
             this.request = request;
@@ -503,7 +505,7 @@
             }
             HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
             setHeaders(head.headers(), now);
-            HttpUtil.setTransferEncodingChunked(head, upload.length < 0);
+            HttpUtil.setTransferEncodingChunked(head, upload.length() < 0);
             recordProgress();
             channel.write(head);
             upload.attach(this);
@@ -513,9 +515,10 @@
             headers.set(request.headers());
             HOP_BY_HOP.forEach(headers::remove);
             headers.set("Host", target.member.address().getHostString());
-            if (timeoutAt < Double.POSITIVE_INFINITY) {
+            double waitsUntil = upload == null ? timeoutAt : Math.min(timeoutAt, upload.deadline());
+            if (waitsUntil < Double.POSITIVE_INFINITY) {
                 // Rounded down, so that the upstream never sees more time than is left.
-                headers.set("X-Remaining", formatSeconds(timeoutAt - now));
+                headers.set("X-Remaining", formatSeconds(Math.max(0, waitsUntil - now)));
             }
         }
 
@@ -530,8 +533,12 @@
 
         @Override
         public void writeChunk(ByteBuf chunk) {
-            channel.config().setWriteBufferWaterMark(memory.streamWaterMark());
+            channel.config().setWriteBufferWaterMark(memory.bodyWaterMark());
+            if (unwrittenChunks++ == 0) {
+                recordProgress();
+            }
             channel.writeAndFlush(new DefaultHttpContent(chunk)).addListener(write -> {
+                unwrittenChunks--;
                 recordProgress();
                 if (!write.isSuccess()) {
                     connectionLost();
@@ -558,7 +565,7 @@
 
         /** Returns true if this side has waited for the upstream since before the given time. */
         private boolean isStalled(double since) {
-            return lastProgressAt < since && (responseSink == null ? !fullyWritten && !channel.isWritable()
+            return lastProgressAt < since && (responseSink == null ? !fullyWritten && unwrittenChunks > 0
                     : responseSink.isWritable());
         }
 
--- a/src/main/java/cranedeal/node/memory/BufferMemory.java
+++ b/src/main/java/cranedeal/node/memory/BufferMemory.java
@@ -11,12 +11,15 @@
 /**
  * The direct memory that the buffers of a node's loop use. It is confined to that loop.
  *
- * <p>What peers make it hold is bounded. Once a share of the memory is held, a body may grow no further, a
- * stream may hold one read at a time, and reads are small. Small bodies may use some more, so that whoever
+ * <p>What peers make it hold is bounded. From a share of the memory on, bodies are not read ahead of their
+ * receivers. From a larger one on, a body may grow no further, a stream may hold one read at a time, and reads
+ * are small. Small bodies may use some more, so that whoever
  * asks little is served; the rest is left to heads, which are bounded for each connection.
  */
 public final class BufferMemory implements HoldLimit {
 
+    /** How much of a body is read ahead of its receiver at most, in bytes. */
+    public static final int MAX_READ_AHEAD_BYTES = 2 << 20;
     /** One arena, since there is one thread, in chunks of 512 KiB. */
     private static final int PAGE_BYTES = 8_192;
     private static final int CHUNK_ORDER = 6;
@@ -28,6 +31,8 @@
     private static final int MAX_READ_WHEN_SHORT_BYTES = 2_048;
     /** Reads between two measurements, which take up to a microsecond. */
     private static final int READS_PER_MEASUREMENT = 8;
+    /** Share of the memory that may be held before bodies are not read ahead of their receivers. */
+    private static final double READ_AHEAD_SHARE = 0.4;
     /** Share of the memory that may be held before it counts as short, and before nothing may grow. */
     private static final double SHORT_SHARE = 0.6;
     private static final double FULL_SHARE = 0.7;
@@ -36,12 +41,15 @@
     /** Bytes of a stream that may wait to be written; there can be hundreds of streams. */
     private static final WriteBufferWaterMark STREAM_WATER_MARK =
             new WriteBufferWaterMark(16 << 10, 32 << 10);
+    private static final WriteBufferWaterMark READ_AHEAD_WATER_MARK =
+            new WriteBufferWaterMark(MAX_READ_AHEAD_BYTES / 2, MAX_READ_AHEAD_BYTES);
     private static final WriteBufferWaterMark WATER_MARK_WHEN_SHORT = new WriteBufferWaterMark(1, 2);
 
     private final PooledByteBufAllocator pool = new PooledByteBufAllocator(true, 0, 1, PAGE_BYTES,
             CHUNK_ORDER, CACHED_BUFFERS, CACHED_BUFFERS, false);
     private final RecvByteBufAllocator adaptive = new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES,
             INITIAL_READ_BYTES, MAX_READ_BYTES);
+    private final long readAheadUntil;
     private final long shortAt;
     private final long fullAt;
     /** Whether memory was short when it was last measured, and reads since then. */
@@ -59,6 +67,7 @@
      * @param bytes what the JVM allows this memory
      */
     public BufferMemory(long bytes) {
+        readAheadUntil = (long) (bytes * READ_AHEAD_SHARE);
         shortAt = (long) (bytes * SHORT_SHARE);
         fullAt = (long) (bytes * FULL_SHARE);
     }
@@ -78,6 +87,16 @@
         return wasShort ? WATER_MARK_WHEN_SHORT : STREAM_WATER_MARK;
     }
 
+    /** Returns how much of a body may wait to be written to its receiver at present. */
+    public WriteBufferWaterMark bodyWaterMark() {
+        return held() < readAheadUntil ? READ_AHEAD_WATER_MARK : streamWaterMark();
+    }
+
+    @Override
+    public boolean mayReadAhead(int held) {
+        return held < MAX_READ_AHEAD_BYTES && held() < readAheadUntil;
+    }
+
     @Override
     public boolean mayHold(int held, int more) {
         long limit = held + more <= SMALL_BODY_BYTES ? fullAt : shortAt;
--- a/src/main/java/cranedeal/node/memory/HoldLimit.java
+++ b/src/main/java/cranedeal/node/memory/HoldLimit.java
@@ -14,4 +14,13 @@
      * @param more bytes that it wants besides
      */
     boolean mayHold(int held, int more);
+
+    /**
+     * Returns true if a message of which {@code held} bytes wait for its receiver may be read further.
+     *
+     * @param held bytes that it holds now
+     */
+    default boolean mayReadAhead(int held) {
+        return true;
+    }
 }
--- a/src/main/java/cranedeal/node/memory/PieceCollector.java
+++ b/src/main/java/cranedeal/node/memory/PieceCollector.java
@@ -10,7 +10,7 @@
  */
 public final class PieceCollector {
 
-    /** How much is collected at most, in bytes. */
+    /** How much is collected before it is passed on with the next piece, in bytes. */
     private static final int MAX_BYTES = 16 << 10;
 
     private final ByteBufAllocator allocator;
@@ -28,20 +28,25 @@
         collected = new BodyBuffer(allocator, HoldLimit.NONE);
     }
 
-    /** Adds a copy of a piece, and passes on what is collected if that is enough. */
+    /** Adds a copy of a piece. Passes on what was collected before if that is enough, but not the piece. */
     public void add(ByteBuf piece) {
-        collected.add(piece);
         if (collected.length() >= MAX_BYTES) {
             flush();
         }
+        collected.add(piece);
+    }
+
+    /** Returns what is collected, perhaps nothing, which the caller has to release. */
+    public ByteBuf take() {
+        ByteBuf whole = collected.take();
+        collected = new BodyBuffer(allocator, HoldLimit.NONE);
+        return whole;
     }
 
     /** Passes on what is collected, if anything is; to be called at the end of each read and of the body. */
     public void flush() {
         if (collected.length() > 0) {
-            ByteBuf whole = collected.take();
-            collected = new BodyBuffer(allocator, HoldLimit.NONE);
-            receiver.accept(whole);
+            receiver.accept(take());
         }
     }
 
