Let only the attempt whose answer is passed on end that answer

Where a second attempt is out, its end was taken for the end of the answer that the first one streams: an error or a reset broke that off, and a whole small answer ended it as if it were complete. Any long answer of the second one counted as an error too, as nobody takes it.

Change: an exchange knows which attempt's answer it passes on, and the ends of others leave it alone. A long answer that nobody takes is a cancelled attempt, no error of its upstream.

StreamedBodyTest#theEndOfAnotherAttemptLeavesAStreamedAnswerAlone fails in its four forms without the change.

--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -72,7 +72,8 @@
     private Caller caller;
     /** When the caller was last known to be connected, in ms of the clock. */
     private double connectedCheckedAt;
-    private boolean streamStarted;
+    /** Number of the attempt whose answer is streamed; negative if none is. */
+    private int streamedAttempt = -1;
 
     Exchange(long id, String className, ServiceClass serviceClass, FullHttpRequest request, double deadline,
             Caller caller, double now, NodeMetrics metrics, RequestLog log) {
@@ -96,7 +97,16 @@
 
     /** Returns true while a streamed answer is being written. */
     boolean isStreaming() {
-        return streamStarted && isOpen();
+        return streamStarted() && isOpen();
+    }
+
+    private boolean streamStarted() {
+        return streamedAttempt >= 0;
+    }
+
+    /** Returns true if the answer being written is that of the given attempt. */
+    boolean isStreamedBy(int number) {
+        return isStreaming() && streamedAttempt == number;
     }
 
     /**
@@ -149,10 +159,10 @@
         }
         close();
         if (!status.equals(HttpResponseStatus.OK)) {
-            log.notServed(this, streamStarted ? "broken-off" : status.codeAsText().toString());
+            log.notServed(this, streamStarted() ? "broken-off" : status.codeAsText().toString());
         }
-        metrics.requestAnswered(className, streamStarted ? HttpResponseStatus.BAD_GATEWAY : status);
-        if (streamStarted) {
+        metrics.requestAnswered(className, streamStarted() ? HttpResponseStatus.BAD_GATEWAY : status);
+        if (streamStarted()) {
             waitingCaller.abort();
         } else {
             waitingCaller.answer(status, body, retryAfter);
@@ -162,16 +172,16 @@
     /** Rejects a request whose body turned out to be malformed; it counts for no class. */
     void reject(HttpResponseStatus status, ByteBuf body) {
         Caller waitingCaller = caller;
-        if (waitingCaller != null && !streamStarted) {
+        if (waitingCaller != null && !streamStarted()) {
             close();
             log.notServed(this, status.codeAsText().toString());
             waitingCaller.answer(status, body, 0);
         }
     }
 
-    /** Starts a streamed answer and returns the sink for its chunks. */
-    ResponseSink startStream(long length, Runnable onWritable) {
-        streamStarted = true;
+    /** Starts to stream the answer of an attempt and returns the sink for its chunks. */
+    ResponseSink startStream(int number, long length, Runnable onWritable) {
+        streamedAttempt = number;
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -862,14 +862,12 @@
         exchange.lastResult = result;
         double[] report = response == null || config.settings().reportMode() != ReportMode.PIGGYBACK ? null
                 : LoadReport.parse(response.headers().get("X-Pressure"), config.settings().reportFields());
-        if (exchange.isStreaming()) {
-            if (result == Result.OK) {
-                exchange.endStream();
-            } else {
-                metrics.failed(NodeMetrics.FailureReason.BROKEN_ANSWER);
-                exchange.answer(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
-            }
-        } else if (result == Result.OK) {
+        if (exchange.isStreamedBy(number) && result == Result.OK) {
+            exchange.endStream();
+        } else if (exchange.isStreamedBy(number)) {
+            metrics.failed(NodeMetrics.FailureReason.BROKEN_ANSWER);
+            exchange.answer(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
+        } else if (result == Result.OK && !exchange.isStreaming()) {
             exchange.answer(HttpResponseStatus.OK, response.content(), 0);
         }
         notifyModule(exchange, () -> balancer.attemptFinished(clock.now(), new Outcome(exchange.id, number,
@@ -895,7 +893,7 @@
         if (!exchange.isOpen() || exchange.isStreaming()) {
             return null;
         }
-        ResponseSink sink = exchange.startStream(length, attempt::resume);
+        ResponseSink sink = exchange.startStream(number, length, attempt::resume);
         notifyModule(exchange, () -> balancer.streamStarted(clock.now(), exchange.id, number,
                 elapsed(exchange, number, sentAt)));
         return sink;
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -792,8 +792,9 @@
             } else if (attempt.startStream(head)) {
                 streamedHead = head;
             } else {
+                // Nobody waits for this answer, or another attempt's is being passed on.
                 currentAttempt = null;
-                attempt.closeAndEnd(Result.ERROR);
+                attempt.closeAndEnd(Result.CANCELLED);
             }
         }
 
--- a/src/test/java/cranedeal/node/HttpPeer.java
+++ b/src/test/java/cranedeal/node/HttpPeer.java
@@ -81,7 +81,8 @@
         return readHeaders();
     }
 
-    private Map<String, String> readHeaders() throws IOException {
+    /** Reads headers, up to and including the empty line behind them. */
+    Map<String, String> readHeaders() throws IOException {
         Map<String, String> headers = new TreeMap<>();
         for (String line = readLine(); line != null && !line.isEmpty(); line = readLine()) {
             int colon = line.indexOf(':');
--- a/src/test/java/cranedeal/node/PausedCallerTest.java
+++ b/src/test/java/cranedeal/node/PausedCallerTest.java
@@ -9,9 +9,6 @@
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,22 +46,6 @@
                 + "x".repeat(bytes);
     }
 
-    /** Runs a play for each request, some at once, and returns what is reported of those that went wrong. */
-    private static List<String> playAll(List<Callable<String>> plays) throws Exception {
-        ExecutorService callers = Executors.newFixedThreadPool(AT_ONCE);
-        try {
-            List<String> wrong = new ArrayList<>();
-            for (Future<String> played : callers.invokeAll(plays)) {
-                if (played.get() != null) {
-                    wrong.add(played.get());
-                }
-            }
-            return wrong;
-        } finally {
-            callers.shutdownNow();
-        }
-    }
-
     private static NodeProcess start(NodeFixture fixture, boolean littleMemory) throws Exception {
         return new NodeProcess(fixture, fixture.discovery.address(), List.of(),
                 littleMemory ? LittleMemoryNode.class : Main.class);
@@ -109,7 +90,7 @@
                     int timeMs = TIMES_MS[random.nextInt(TIMES_MS.length)];
                     plays.add(() -> late(node, id, bytes, timeMs));
                 }
-                assertEquals(List.of(), playAll(plays), () -> String.join("\n", node.log()));
+                assertEquals(List.of(), Plays.run(plays, AT_ONCE), () -> String.join("\n", node.log()));
             }
         } finally {
             servers.forEach(SmallSegmentServer::close);
@@ -154,7 +135,7 @@
                         return null;
                     });
                 }
-                playAll(plays);
+                Plays.run(plays, AT_ONCE);
                 Thread.sleep(TIMES_MS[0]);
                 List<String> wrong = new ArrayList<>();
                 up.forEach(server -> server.begun().forEach((id, begunAt) -> {
--- a/src/test/java/cranedeal/node/StreamedBodyTest.java
+++ b/src/test/java/cranedeal/node/StreamedBodyTest.java
@@ -330,4 +330,40 @@
             assertTrue(upstream.awaitClose());
         }
     }
+
+    /** Guards against a second attempt whose end ends, or breaks off, the answer of the first. */
+    @ParameterizedTest
+    @ValueSource(strings = {"small", "large", "500", "reset"})
+    void theEndOfAnotherAttemptLeavesAStreamedAnswerAlone(String other) throws Exception {
+        try (NodeFixture fixture = new NodeFixture(2).start()) {
+            fixture.balancer.onRequest = request -> {
+                fixture.balancer.sendTo(0, request, 0);
+                fixture.balancer.sendTo(1, request, 0);
+            };
+            fixture.balancer.onOpenOutcome = (to, outcome) -> { };
+            HttpPeer caller = fixture.caller();
+            caller.write(NodeFixture.get("1", "10"));
+            HttpPeer upstream = fixture.upstreams.get(0).accept();
+            upstream.read();
+            HttpPeer second = fixture.upstreams.get(1).accept();
+            second.read();
+            upstream.write(okHead(false) + BODY.substring(0, HALF));
+            readHead(caller);
+            switch (other) {
+                case "small" -> second.write(NodeFixture.ok("other"));
+                case "large" -> second.write(okHead(false) + BODY);
+                case "500" -> second.write("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+                default -> second.reset();
+            }
+            fixture.balancer.nextResult();
+            upstream.write(BODY.substring(HALF));
+            assertEquals(BODY, readBytes(caller, BODY.length()));
+            assertEquals(Result.OK, fixture.balancer.nextResult());
+            fixture.balancer.onRequest = request -> fixture.balancer.sendTo(0, request, 0);
+            caller.write(NodeFixture.get("2", "10"));
+            upstream.read();
+            upstream.write(NodeFixture.ok("again"));
+            assertEquals("again", caller.read().body());
+        }
+    }
 }
