Pass on an answer that has begun by its attempt's timeout instead of cutting it off

Cause: an answer of unknown length is held back for up to 200 ms, as it may be short. Where its attempt's timeout fell into that time, the attempt ended as if nothing had come. The same timeout also ended an answer whose start it had itself just read.

Change: at its timeout an attempt streams an answer of unknown length of which something has arrived, and goes on if an answer is being passed on. Stalled attempts have an end of their own.

--- a/src/main/java/cranedeal/node/ResponseAggregator.java
+++ b/src/main/java/cranedeal/node/ResponseAggregator.java
@@ -35,6 +35,9 @@
     private HttpResponse head;
     private BodyBuffer buffered;
     private long received;
+    /** True if its length is not known, so that it can be streamed however short it turns out to be. */
+    private boolean lengthUnknown;
+    private ChannelHandlerContext context;
     /** The pieces of a streamed answer that the current read has brought; null if none is streamed. */
     private PieceCollector pieces;
     private Future<?> holdTimer;
@@ -81,6 +84,7 @@
         }
         head = response;
         received = 0;
+        lengthUnknown = length < 0;
         buffered = new BodyBuffer(ctx.alloc(), memory);
         if (length < 0) {
             holdTimer = ctx.executor().schedule(() -> startStreaming(ctx), MAX_HOLD_MS,
@@ -106,6 +110,18 @@
         }
     }
 
+    /** Starts to stream a successful answer of unknown length of which something has arrived. */
+    void streamIfBegun() {
+        if (head != null && lengthUnknown && received > 0 && head.status().equals(HttpResponseStatus.OK)) {
+            startStreaming(context);
+        }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
     /** Passes on what is buffered, and from now on each part as it arrives. */
     private void startStreaming(ChannelHandlerContext ctx) {
         if (head == null) {
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -291,7 +291,7 @@
         }
         double stalledSince = clock.now() - STALL_TIMEOUT_MS;
         List.copyOf(streaming).stream().filter(attempt -> attempt.isStalled(stalledSince))
-                .forEach(Attempt::expire);
+                .forEach(Attempt::endStalled);
         double oldestAllowed = clock.now() - maxIdleMs();
         while (!idleConnections.isEmpty() && idleConnections.iterator().next().idleSince < oldestAllowed) {
             metrics.connectionClosed(NodeMetrics.CloseReason.UPSTREAM_IDLE);
@@ -622,13 +622,19 @@
         }
 
         /**
-         * Ends the attempt because of its timeout. A loop that is late runs timers before it polls its
-         * sockets, so this first reads an answer that has arrived, or polls once more for the connection,
-         * which may have been up for long.
+         * Ends the attempt because of its timeout, unless its answer has begun and is streamed. A loop that is
+         * late runs timers before it polls its sockets, so this first reads an answer that has arrived, or
+         * polls once more for the connection, which may have been up for long.
          */
         private void expire() {
             readAnswerNow();
-            if (!ended && !fullyWritten && !polledAgain) {
+            if (!ended && responseSink == null && fullyWritten) {
+                channel.pipeline().get(ResponseAggregator.class).streamIfBegun();
+            }
+            if (ended || responseSink != null) {
+                return;
+            }
+            if (!fullyWritten && !polledAgain) {
                 polledAgain = true;
                 // A task passed to execute() would run before the sockets are polled.
                 timeoutTimer = loop.schedule(this::expire, 1, TimeUnit.NANOSECONDS);
@@ -637,6 +643,11 @@
             closeAndEnd(fullyWritten ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
 
+        /** Ends the attempt because this side has waited too long for the upstream to take or send more. */
+        private void endStalled() {
+            closeAndEnd(fullyWritten ? Result.TIMEOUT : Result.CONNECT_FAILED);
+        }
+
         /** Returns since when the request may have run, in ms of the clock; infinity if it cannot have. */
         double mayHaveRunSince() {
             return neverRan || Double.isNaN(firstByteAt) ? Double.POSITIVE_INFINITY : firstByteAt;
--- a/src/test/java/cranedeal/node/LateEventLoopTest.java
+++ b/src/test/java/cranedeal/node/LateEventLoopTest.java
@@ -6,6 +6,7 @@
 import cranedeal.LoadBalancer;
 import cranedeal.LoadBalancer.Result;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -13,6 +14,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** An event loop that is late reads data that has arrived before it acts on a timer. */
 @Timeout(60)
@@ -43,6 +46,31 @@
         }
     }
 
+    /** Guards against cutting off an answer of which the start has arrived in time. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 70005\r\n\r\nstart",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nstart"})
+    void aStreamedAnswerThatHasBegunIsNoTimeoutHoweverLateItIsRead(String begun) throws Exception {
+        try (NodeFixture fixture = new NodeFixture().start()) {
+            HttpPeer caller = fixture.caller();
+            HttpPeer upstream = pooledConnection(fixture, caller);
+            fixture.balancer.onRequest = request -> {
+                fixture.balancer.sendTo(0, request, TIMEOUT_MS);
+                awaitUnread(fixture.upstreams.get(0), TIMEOUT_MS);
+            };
+            caller.write(NodeFixture.get("2", "10"));
+            upstream.read();
+            upstream.write("HTTP/1.1 200 OK\r\n" + begun);
+            assertEquals("HTTP/1.1 200 OK", caller.readLine());
+            caller.readHeaders();
+            boolean chunked = begun.contains("chunked");
+            upstream.write(chunked ? "\r\n0\r\n\r\n" : "x".repeat(70_000));
+            assertEquals(Result.OK, fixture.balancer.nextResult());
+            byte[] body = caller.socket.getInputStream().readNBytes(chunked ? 8 : 70_005);
+            assertTrue(new String(body, StandardCharsets.ISO_8859_1).contains("start"));
+        }
+    }
+
     @Test
     void anAnswerThatHasArrivedIsReportedBeforeATimerOfItsRequest() throws Exception {
         try (NodeFixture fixture = new NodeFixture().start()) {
