Let an answer of which only the head has come time out

The head of a long answer, or a head of unknown length after 200 ms, counted as a begun answer, so that the deadline didn't apply any more. The head itself was only flushed with the first part of the body.

Change: an answer begins with the first byte of its body; until then its attempt can time out and, where the class allows, another be sent.

Measured: StreamedBodyTest#anAnswerThatIsAHeadAndThenNothingTimesOut gets a broken 200 after 10 s in both forms without the change, and 502 within the request's second with it.

--- a/src/main/java/cranedeal/node/ResponseAggregator.java
+++ b/src/main/java/cranedeal/node/ResponseAggregator.java
@@ -22,8 +22,9 @@
 
 /**
  * Aggregates answers; one that is too large to be buffered, or for which memory is short, is streamed. So is
- * a slow one of unknown length, as the caller of a large answer should receive its start soon. The body of an
- * answer that reports no success is dropped, as nobody reads it.
+ * a slow one of unknown length, as the caller of a large answer should receive its start soon. A head alone is
+ * no start: until a part of its body has come, an answer can still time out. The body of an answer that reports
+ * no success is dropped, as nobody reads it.
  */
 final class ResponseAggregator extends MessageToMessageDecoder<HttpObject> {
 
@@ -37,6 +38,8 @@
     private long received;
     /** True if its length is not known, so that it can be streamed however short it turns out to be. */
     private boolean lengthUnknown;
+    /** True if it is streamed from the first byte of its body. */
+    private boolean streamed;
     private ChannelHandlerContext context;
     /** The pieces of a streamed answer that the current read has brought; null if none is streamed. */
     private PieceCollector pieces;
@@ -77,7 +80,8 @@
             return;
         }
         long length = HttpUtil.getContentLength(response, -1L);
-        if (length > maxBuffered) {
+        boolean successful = response.status().equals(HttpResponseStatus.OK);
+        if (length > maxBuffered && !successful) {
             out.add(response);
             pieces = newCollector(ctx);
             return;
@@ -85,10 +89,10 @@
         head = response;
         received = 0;
         lengthUnknown = length < 0;
+        streamed = length > maxBuffered;
         buffered = new BodyBuffer(ctx.alloc(), memory);
         if (length < 0) {
-            holdTimer = ctx.executor().schedule(() -> startStreaming(ctx), MAX_HOLD_MS,
-                    TimeUnit.MILLISECONDS);
+            holdTimer = ctx.executor().schedule(this::endHold, MAX_HOLD_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -105,11 +109,20 @@
             whole.setDecoderResult(part.decoderResult());
             reset();
             out.add(whole);
-        } else if (received > maxBuffered) {
+        } else if (received > (streamed ? 0 : maxBuffered)) {
             startStreaming(ctx);
         }
     }
 
+    private void endHold() {
+        streamed = true;
+        if (head.status().equals(HttpResponseStatus.OK)) {
+            streamIfBegun();
+        } else {
+            startStreaming(context);
+        }
+    }
+
     /** Starts to stream a successful answer of unknown length of which something has arrived. */
     void streamIfBegun() {
         if (head != null && lengthUnknown && received > 0 && head.status().equals(HttpResponseStatus.OK)) {
--- a/src/test/java/cranedeal/node/StreamedBodyTest.java
+++ b/src/test/java/cranedeal/node/StreamedBodyTest.java
@@ -366,4 +366,19 @@
             assertEquals("again", caller.read().body());
         }
     }
+
+    /** Guards against a head that stops the clock although its body never comes. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAnswerThatIsAHeadAndThenNothingTimesOut(boolean chunked) throws Exception {
+        try (NodeFixture fixture = new NodeFixture().start()) {
+            HttpPeer caller = fixture.caller();
+            caller.write(NodeFixture.get("1", "1"));
+            HttpPeer upstream = fixture.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(okHead(chunked));
+            assertEquals(502, caller.read().status());
+            assertEquals(Result.TIMEOUT, fixture.balancer.nextResult());
+        }
+    }
 }
