Take an empty read within a body for the caller's own pause only if the caller could send

Cause: a read that finds nothing was taken to show that the caller had written nothing else. After this side had not read for a while it only shows that the caller's kernel hasn't sent on yet: the deadline moved on by a whole request's time, and a caller that had left counted as seen. Found by reading, on a connection of less than a segment's delay nothing was seen to break.

Change: within a body an empty read counts if the caller could send for 10 ms without waiting for this side, and sent less than the window. A large request whose caller is not known to be connected, as with a late loop, is looked at again after 10 ms, four times at most, before its attempt is refused.

Tests: LossSoakTest plays processes with the memory of service, reloads in series, an upgrade or an end with the kill at its earliest, some with a crowd, before upstreams that read nothing, little or slowly or never come up; callers are quick, slow, leave, and come again with their id.

--- a/src/main/java/cranedeal/node/CallerInput.java
+++ b/src/main/java/cranedeal/node/CallerInput.java
@@ -1,6 +1,7 @@
 package cranedeal.node;
 
 import cranedeal.node.channel.Channels;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -15,6 +16,10 @@
 
     /** For how many ms a caller is taken for connected after everything that it had sent was read. */
     static final double MAX_UNSEEN_MS = 50;
+    /** Bytes that a caller can send at once without waiting for this side. */
+    private static final int MIN_WINDOW_BYTES = 48 << 10;
+    /** How long it takes at most until what a caller may send has come, in ms. */
+    private static final double MAX_DELAY_MS = 10;
     /** How often to read on in search of the end; each reads some hundred KiB at most. */
     private static final int MAX_READS = 16;
 
@@ -25,6 +30,11 @@
     /** True while the connection is being read, when it must not be read again. */
     private boolean reading;
     private boolean readScheduled;
+    /** True if the last read found nothing. */
+    private boolean empty;
+    /** Since when the caller could send without waiting for this side, in ms; NaN if reading was paused. */
+    private double openSince = Double.NaN;
+    private long bytesSinceOpen;
     /** When everything that the caller had sent was last known to be read, in ms of the clock. */
     private double drainedAt;
     /** When reading was paused, and when it was resumed after that, in ms; NaN while the connection is read. */
@@ -48,6 +58,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
         reading = true;
+        bytesSinceOpen += ((ByteBuf) bytes).readableBytes();
         ctx.fireChannelRead(bytes);
     }
 
@@ -56,8 +67,9 @@
         reading = true;
         var read = channel.unsafe().recvBufAllocHandle();
         int bytes = read.lastBytesRead();
-        if (bytes == 0) {
-            drained();
+        empty = bytes == 0;
+        if (empty) {
+            nothingLeft();
         }
         ctx.fireChannelReadComplete();
         reading = false;
@@ -67,10 +79,22 @@
         }
     }
 
-    private void drained() {
-        drainedAt = clock.getAsDouble();
-        if (body != null) {
-            body.drained(drainedAt);
+    /**
+     * A read has found nothing. Within a body that doesn't show that the caller has sent nothing else: its
+     * kernel may have waited for this side to read. It does if the caller could send for some time and has
+     * sent little.
+     */
+    private void nothingLeft() {
+        double now = clock.getAsDouble();
+        if (body == null) {
+            drainedAt = now;
+        } else if (!(now < openSince + MAX_DELAY_MS)) {
+            if (bytesSinceOpen < MIN_WINDOW_BYTES && now >= openSince + MAX_DELAY_MS) {
+                drainedAt = now;
+                body.drained(now);
+            }
+            openSince = now;
+            bytesSinceOpen = 0;
         }
     }
 
@@ -100,6 +124,12 @@
     void bodyStarted(BodyArrival arriving) {
         body = arriving;
         pausedMs = 0;
+        openSince = Double.NaN;
+    }
+
+    /** The caller was connected at a time, in ms of the clock, as bytes of it arrived then. */
+    void seen(double at) {
+        drainedAt = Math.max(drainedAt, at);
     }
 
     /** No more of the body will come, or be used; what comes behind it is read. */
@@ -111,6 +141,7 @@
     void pause() {
         if (!isPaused()) {
             pausedAt = clock.getAsDouble();
+            openSince = Double.NaN;
         }
         channel.config().setAutoRead(false);
     }
@@ -133,6 +164,11 @@
         return pausedMs + (isPaused() ? clock.getAsDouble() - pausedAt : 0);
     }
 
+    /** Returns true if a body is arriving, so that the caller may have left unseen behind it. */
+    boolean isInBody() {
+        return body != null;
+    }
+
     /** Returns when reading was last resumed, in ms of the clock. */
     double resumedAt() {
         return resumedAt;
@@ -157,9 +193,8 @@
      * far as is seen.
      */
     boolean isOpen() {
-        double before = drainedAt;
-        for (int i = 0; i < MAX_READS && channel.isActive() && !isPaused() && !reading
-                && drainedAt == before; i++) {
+        empty = false;
+        for (int i = 0; i < MAX_READS && channel.isActive() && !isPaused() && !reading && !empty; i++) {
             Channels.readNow(channel);
         }
         return channel.isActive();
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -87,7 +87,8 @@
         upload = request instanceof StreamedRequest large ? large.upload : null;
         this.deadline = deadline;
         this.caller = caller;
-        connectedCheckedAt = now;
+        // The end of the connection may lie behind a body, unseen.
+        connectedCheckedAt = upload == null ? now : Double.NEGATIVE_INFINITY;
         metrics.requestStarted();
     }
 
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -95,6 +95,9 @@
     private static final int MAX_CLOSING_EVICTED = 8;
     /** Advised retry delay for a caller refused because this process is short of CPU or memory, in ms. */
     private static final double OVERLOAD_RETRY_AFTER_MS = 500;
+    /** How often, and after how many ms, to look again if the caller of a large request may have left. */
+    private static final int MAX_LOOKS = 4;
+    private static final long LOOK_AGAIN_MS = 10;
     /** Kernel send buffer for a streamed answer, in bytes. */
     private static final int STREAM_SEND_BUFFER_BYTES = 128 * 1_024;
 
@@ -446,6 +449,8 @@
         private Exchange exchange;
         /** True while the current request waits in the {@link #requestQueue}. */
         private boolean queued;
+        /** How often it was put off, as its caller was not known to be connected any more. */
+        private int looks;
         private final CallerInput input;
         private final RequestDecoder decoder;
         private final RequestAggregator aggregator;
@@ -581,6 +586,8 @@
             idleConnections.remove(this);
             unserved.remove(this);
             queued = true;
+            looks = 0;
+            input.seen(currentArrivedAt);
             if (requestQueue.add(this)) {
                 loop.execute(Frontend.this::handleSlice);
             }
@@ -591,6 +598,10 @@
             if (!queued) {
                 return;
             }
+            if (input.isInBody() && !input.isKnownOpen() && channel.isActive() && looks++ < MAX_LOOKS) {
+                loop.schedule(this::handleQueued, LOOK_AGAIN_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
             queued = false;
             try {
                 if (input.isOpen()) {
--- a/src/main/java/cranedeal/node/Upload.java
+++ b/src/main/java/cranedeal/node/Upload.java
@@ -88,6 +88,7 @@
      */
     void startClock(double arrivedAt, double newTimeAllowed) {
         arrival.started(arrivedAt);
+        input.seen(arrivedAt);
         timeAllowed = newTimeAllowed;
     }
 
