Look again at a large request whose caller is not seen before it is handled

Cause: a request whose caller could not be seen was handed to the decisions, and refused by way of an attempt that was not begun. A small request in front of a pipelined large one was not looked at.

The time since a poll counts in full there, also under the 50 ms from which on a loop counts as late. The reception of a streamed body is one class.

--- a/src/main/java/cranedeal/node/CallerInput.java
+++ b/src/main/java/cranedeal/node/CallerInput.java
@@ -15,7 +15,7 @@
 final class CallerInput extends ChannelInboundHandlerAdapter {
 
     /** For how many ms a caller is taken for connected after everything that it had sent was read. */
-    static final double MAX_UNSEEN_MS = 50;
+    static final double MAX_UNSEEN_MS = 25;
     /** Bytes that a caller can send at once without waiting for this side. */
     private static final int MIN_WINDOW_BYTES = 48 << 10;
     /** How long it takes at most until what a caller may send has come, in ms. */
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -565,6 +565,7 @@
                     || pipelined.size() == MAX_PIPELINED - 1 || !channel.isWritable();
             // A late loop reads a request long after it has arrived.
             double arrivedAt = node.now() - monitor.lag();
+            input.seen(node.now() - monitor.maxDelay());
             ReceivedRequest received = new ReceivedRequest(request, arrivedAt, headBytes);
             if (current == null) {
                 startRequest(received);
@@ -587,7 +588,6 @@
             unserved.remove(this);
             queued = true;
             looks = 0;
-            input.seen(currentArrivedAt);
             if (requestQueue.add(this)) {
                 loop.execute(Frontend.this::handleSlice);
             }
@@ -598,8 +598,8 @@
             if (!queued) {
                 return;
             }
-            if (input.isInBody() && !input.isKnownOpen() && channel.isActive() && looks++ < MAX_LOOKS) {
-                loop.schedule(this::handleQueued, LOOK_AGAIN_MS, TimeUnit.MILLISECONDS);
+            if (mayHaveLeft()) {
+                lookAgain();
                 return;
             }
             queued = false;
@@ -620,6 +620,20 @@
             }
         }
 
+        /** Returns true if the end of the connection may lie behind a body that is not read to its end. */
+        private boolean mayHaveLeft() {
+            return input.isInBody() && isRefusable() && !input.isKnownOpen() && channel.isActive();
+        }
+
+        /** Puts the queued request off until its caller is seen, and refuses it in the end. */
+        private void lookAgain() {
+            if (looks++ < MAX_LOOKS) {
+                loop.schedule(this::handleQueued, LOOK_AGAIN_MS, TimeUnit.MILLISECONDS);
+            } else {
+                refuseQueued(NodeMetrics.RefusalReason.CALLER_UNSEEN);
+            }
+        }
+
         /** Refuses the queued request, which has waited too long, if a refusal is a valid answer to it. */
         void refuseExpired() {
             if (isRefusable()) {
--- a/src/main/java/cranedeal/node/LoopMonitor.java
+++ b/src/main/java/cranedeal/node/LoopMonitor.java
@@ -60,10 +60,15 @@
 
     /** How long data that is read now may have been waiting, in ms; 0 while the loop is not late. */
     double lag() {
-        double delay = clock.getAsDouble() - unreadSince();
+        double delay = maxDelay();
         return delay > LATE_THRESHOLD_MS ? delay : 0;
     }
 
+    /** How long data that is read now may have been waiting at most, in ms, also while the loop is not late. */
+    double maxDelay() {
+        return clock.getAsDouble() - unreadSince();
+    }
+
     /** The time since when data that is read now may have been waiting. */
     private double unreadSince() {
         if (!polling) {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -734,42 +734,72 @@
             notifyModule(exchange, () -> balancer.request(clock.now(), request));
         } else {
             exchange.upload.startClock(arrivedAt, request.deadline() - arrivedAt);
-            receiveBody(exchange, request);
+            new BodyReception(exchange).start(request);
         }
         return exchange;
     }
 
-    /** Accepts a request whose body is streamed: its deadline counts from the last byte of the body. */
-    private void receiveBody(Exchange exchange, Request request) {
-        exchange.deadline = Double.POSITIVE_INFINITY;
-        exchange.receivedAt = Double.NaN;
-        watchBody(exchange);
-        // The body may already be complete, or malformed.
-        exchange.upload.setListener(new BodyListener(exchange));
-        if (!exchange.isOpen()) {
-            return;
-        }
-        notifyModule(exchange, Double.isNaN(exchange.receivedAt)
-                ? () -> balancer.requestStarted(clock.now(), request)
-                : () -> balancer.request(clock.now(), request));
-    }
-
-    /** Handles the end of a request's streamed body. */
-    private final class BodyListener implements Upload.Listener {
+    /** Receives the streamed body of a request, whose deadline counts from the last byte of the body. */
+    private final class BodyReception implements Upload.Listener {
 
         private final Exchange exchange;
 
-        BodyListener(Exchange exchange) {
+        BodyReception(Exchange exchange) {
             this.exchange = exchange;
         }
 
+        void start(Request request) {
+            exchange.deadline = Double.POSITIVE_INFINITY;
+            exchange.receivedAt = Double.NaN;
+            scheduleCheck();
+            // The body may already be complete, or malformed.
+            exchange.upload.setListener(this);
+            if (!exchange.isOpen()) {
+                return;
+            }
+            notifyModule(exchange, isArriving() ? () -> balancer.requestStarted(clock.now(), request)
+                    : () -> balancer.request(clock.now(), request));
+        }
+
+        private boolean isArriving() {
+            return exchange.isOpen() && Double.isNaN(exchange.receivedAt);
+        }
+
+        /** Schedules the check that the body arrives while its caller may wait. */
+        private void scheduleCheck() {
+            double next = Math.max(exchange.upload.deadline(), clock.now() + MIN_BODY_CHECK_MS);
+            exchange.deadlineTimer = loop.schedule(this::check, clock.nanosUntil(next), TimeUnit.NANOSECONDS);
+        }
+
+        /**
+         * Ends a request whose body was not read to its end in time, since attempts didn't take it: its caller
+         * may have written all of it long ago, and waits.
+         */
+        private void check() {
+            exchange.upload.updateDeadline();
+            if (isArriving() && clock.now() < exchange.upload.deadline()) {
+                scheduleCheck();
+            } else if (isArriving()) {
+                applyDeadline();
+            }
+        }
+
+        /** Sets the deadline of the request and of its attempts. */
+        private void applyDeadline() {
+            exchange.deadline = exchange.upload.deadline();
+            exchange.deadlineTimer.cancel(false);
+            watch(exchange);
+            exchange.attempts.stream().filter(Objects::nonNull)
+                    .forEach(attempt -> attempt.setDeadline(exchange.deadline));
+        }
+
         @Override
         public void onComplete() {
             if (!exchange.isOpen()) {
                 return;
             }
             exchange.receivedAt = clock.now();
-            applyBodyDeadline(exchange);
+            applyDeadline();
             notifyModule(exchange, () -> balancer.bodyArrived(clock.now(), exchange.id, exchange.deadline));
         }
 
@@ -790,36 +820,6 @@
         }
     }
 
-    /** Schedules the check that the body of a request arrives while its caller may wait. */
-    private void watchBody(Exchange exchange) {
-        double next = Math.max(exchange.upload.deadline(), clock.now() + MIN_BODY_CHECK_MS);
-        exchange.deadlineTimer = loop.schedule(() -> checkBody(exchange), clock.nanosUntil(next),
-                TimeUnit.NANOSECONDS);
-    }
-
-    /**
-     * Ends a request whose body was not read to its end in time, since attempts didn't take it: its caller
-     * may have written all of it long ago, and waits.
-     */
-    private void checkBody(Exchange exchange) {
-        exchange.upload.updateDeadline();
-        boolean arriving = exchange.isOpen() && Double.isNaN(exchange.receivedAt);
-        if (arriving && clock.now() < exchange.upload.deadline()) {
-            watchBody(exchange);
-        } else if (arriving) {
-            applyBodyDeadline(exchange);
-        }
-    }
-
-    /** Sets the deadline of a request with a streamed body, and that of its attempts. */
-    private void applyBodyDeadline(Exchange exchange) {
-        exchange.deadline = exchange.upload.deadline();
-        exchange.deadlineTimer.cancel(false);
-        watch(exchange);
-        exchange.attempts.stream().filter(Objects::nonNull)
-                .forEach(attempt -> attempt.setDeadline(exchange.deadline));
-    }
-
     /** Schedules the check that a request was answered by shortly after its deadline. */
     private void watch(Exchange exchange) {
         double latest = exchange.deadline + config.settings().rules().answerGrace() / 2;
--- a/src/main/java/cranedeal/node/Upload.java
+++ b/src/main/java/cranedeal/node/Upload.java
@@ -88,7 +88,6 @@
      */
     void startClock(double arrivedAt, double newTimeAllowed) {
         arrival.started(arrivedAt);
-        input.seen(arrivedAt);
         timeAllowed = newTimeAllowed;
     }
 
--- a/src/test/java/cranedeal/node/CallerGoneTest.java
+++ b/src/test/java/cranedeal/node/CallerGoneTest.java
@@ -25,6 +25,10 @@
 class CallerGoneTest {
 
     private static final long PAST_CONNECTED_CHECK_MS = 5;
+    /** How late a loop may be at most when it begins an attempt, and some more. */
+    private static final long LATE_MS = 150;
+    /** Too large to be buffered. */
+    private static final String LARGE_BODY = "x".repeat(200_000);
 
     /** Requests that the module has neither sent nor answered, in order of arrival. */
     private final LinkedBlockingQueue<Request> heldRequests = new LinkedBlockingQueue<>();
@@ -366,4 +370,43 @@
             assertEquals("served", other.read().body());
         }
     }
+
+    /** Guards against a large request that a late loop begins in the middle of reading it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"CLOSE", "END_OF_SENDING"})
+    void aLargeRequestReadAfterItsCallerHasLeftIsNotSent(LeaveMode mode) throws Exception {
+        try (NodeFixture fixture = new NodeFixture().start()) {
+            serve(fixture);
+            HttpPeer caller = idleCaller(fixture);
+            long before = dispatches(fixture);
+            whileNodeBlocked(fixture, () -> {
+                caller.write(NodeFixture.spend("large", LARGE_BODY));
+                mode.leave(caller);
+                TimeUnit.MILLISECONDS.sleep(LATE_MS);
+            });
+            assertNothingElseSent(fixture, before);
+            // Not even begun: the only connection is that of the request after it.
+            assertTrue(fixture.node.stats().contains("edge_proxy.connects=1\n"), fixture.node.stats());
+        }
+    }
+
+    /** Guards against completing a request, which may run then, although its caller has left. */
+    @ParameterizedTest
+    @ValueSource(strings = {"CLOSE", "END_OF_SENDING"})
+    void theEndOfABodyIsNotSentOnceItsCallerHasLeft(LeaveMode mode) throws Exception {
+        try (NodeFixture fixture = new NodeFixture().start()) {
+            HttpPeer caller = fixture.caller();
+            String request = NodeFixture.spend("large", LARGE_BODY);
+            int sentFirst = request.length() - 1_000;
+            caller.write(request.substring(0, sentFirst));
+            HttpPeer upstream = fixture.upstreams.get(0).accept();
+            upstream.readHead();
+            fixture.awaitReads();
+            whileNodeBlocked(fixture, () -> {
+                caller.write(request.substring(sentFirst));
+                mode.leave(caller);
+            });
+            assertTrue(upstream.socket.getInputStream().readAllBytes().length < LARGE_BODY.length());
+        }
+    }
 }
--- a/src/test/java/cranedeal/node/HttpPeer.java
+++ b/src/test/java/cranedeal/node/HttpPeer.java
@@ -64,6 +64,11 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /** Writes bytes from an offset on. */
+    void write(byte[] bytes, int offset, int length) throws IOException {
+        socket.getOutputStream().write(bytes, offset, length);
+    }
+
     /** Reads the next message; returns null at the end of the stream. */
     Message read() throws IOException {
         String first = readLine();
--- a/src/test/java/cranedeal/node/NodeProcess.java
+++ b/src/test/java/cranedeal/node/NodeProcess.java
@@ -92,6 +92,30 @@
         }
     }
 
+    /**
+     * Sends a small request on a new connection and returns the status, or why there is none in time.
+     *
+     * @param timeMs the request's time
+     * @param graceMs how long after that its answer may come
+     */
+    String small(int timeMs, int graceMs) {
+        try (HttpPeer caller = HttpPeer.connect(address)) {
+            caller.socket.setSoTimeout(timeMs + graceMs);
+            caller.write(NodeFixture.get("small", String.valueOf(timeMs / 1e3)));
+            HttpPeer.Message answer = caller.read();
+            return answer == null ? "closed" : String.valueOf(answer.status());
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    /** Returns the most memory that the process has held so far, in KB. */
+    long peakMemoryKb() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("VmHWM:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", ""))).findFirst().orElseThrow();
+    }
+
     void moveDiscovery(String discovery) throws Exception {
         Files.writeString(file, config.replace(fixture.discovery.address(), discovery));
         signal("HUP");
