Count a request's first bytes from their arrival, not those that a full window held back

A late loop had read the head and a window's worth of the body; the rest, which the window had held back in the caller's kernel, was taken to have come since the poll before.

Change: only the first bytes of a request, after a read that left nothing, tell when they came. CallerInput keeps that time for each connection, also for a new one; the clock of a streamed body starts from it.

--- a/src/main/java/cranedeal/node/CallerInput.java
+++ b/src/main/java/cranedeal/node/CallerInput.java
@@ -24,7 +24,13 @@
     private static final int MAX_READS = 8;
 
     private final DoubleSupplier clock;
+    private final LoopMonitor monitor;
+    /** The poll that accepted the connection, and the earliest time at which the caller may have connected. */
+    private final long openedInPoll;
+    private final double openedAt;
     private Channel channel;
+    /** True if a request has arrived in part. */
+    private boolean inRequest;
     /** The body that is arriving; null if there is none. */
     private BodyArrival body;
     /** True while the connection is being read, when it must not be read again. */
@@ -32,9 +38,8 @@
     private boolean readScheduled;
     /** True if the last read found nothing. */
     private boolean empty;
-    /** True if the last read left nothing, as far as is known; and if so did the one before the current one. */
+    /** True if the last read left nothing, as far as is known. */
     private boolean leftNothing = true;
-    private boolean startedEmpty = true;
     /** Since when the caller could send without waiting for this side, in ms; NaN if reading was paused. */
     private double openSince = Double.NaN;
     private long bytesSinceOpen;
@@ -47,15 +52,18 @@
     private double pausedMs;
 
     /**
-     * Creates the input of the connection whose pipeline it is added to, as the first.
+     * Creates the input of a new connection, to whose pipeline it is added as the first.
      *
      * @param clock returns the time in ms
-     * @param connectedAt the earliest time at which the caller may have connected
+     * @param monitor tells how long bytes may wait until they are read
      */
-    CallerInput(DoubleSupplier clock, double connectedAt) {
+    CallerInput(DoubleSupplier clock, LoopMonitor monitor) {
         this.clock = clock;
-        drainedAt = connectedAt;
-        resumedAt = connectedAt;
+        this.monitor = monitor;
+        openedInPoll = monitor.polls();
+        openedAt = monitor.unreadSince();
+        drainedAt = openedAt;
+        resumedAt = openedAt;
     }
 
     @Override
@@ -91,29 +99,52 @@
     private void startRead() {
         if (!reading) {
             reading = true;
-            startedEmpty = leftNothing;
+            if (!inRequest && leftNothing) {
+                drainedAt = Math.max(drainedAt, unreadSince());
+                openSince = Double.NaN;
+            }
         }
     }
 
     /**
-     * A read has found nothing. Within a body that doesn't show that the caller has sent nothing else: its
+     * Returns since when the first bytes of a request may have been waiting, in ms of the clock, while they are
+     * being read. Those of a new connection may have waited with it to be accepted.
+     */
+    double unreadSince() {
+        double readableSince = monitor.unreadSince();
+        return monitor.polls() <= openedInPoll + 1 ? Math.min(openedAt, readableSince) : readableSince;
+    }
+
+    /** Sets whether a request has arrived in part, after a read. */
+    void setInRequest(boolean partial) {
+        inRequest = partial;
+    }
+
+    /**
+     * A read has found nothing. Within a request that doesn't show that the caller has sent nothing else: its
      * kernel may have waited for this side to read. It does if the caller could send for some time and has
      * sent little.
      */
     private void nothingLeft() {
         double now = clock.getAsDouble();
-        if (body == null) {
+        if (body == null && !inRequest) {
             drainedAt = now;
         } else if (!(now < openSince + MAX_DELAY_MS)) {
             if (bytesSinceOpen < MIN_WINDOW_BYTES && now >= openSince + MAX_DELAY_MS) {
-                drainedAt = now;
-                body.drained(now);
+                drained(now);
             }
             openSince = now;
             bytesSinceOpen = 0;
         }
     }
 
+    private void drained(double now) {
+        drainedAt = now;
+        if (body != null) {
+            body.drained(now);
+        }
+    }
+
     private void scheduleRead() {
         if (!readScheduled) {
             readScheduled = true;
@@ -140,17 +171,11 @@
     void bodyStarted(BodyArrival arriving) {
         body = arriving;
         pausedMs = 0;
-        openSince = Double.NaN;
     }
 
-    /**
-     * The bytes that are being read have arrived since a given time, in ms of the clock, if the read before
-     * left nothing: the caller was connected then.
-     */
-    void arrivedSince(double at) {
-        if (startedEmpty) {
-            drainedAt = Math.max(drainedAt, at);
-        }
+    /** Returns when everything that the caller had sent was last known to be read, in ms of the clock. */
+    double drainedAt() {
+        return drainedAt;
     }
 
     /** No more of the body will come, or be used; what comes behind it is read. */
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -190,7 +190,7 @@
                     protected void initChannel(Channel channel) {
                         RequestAggregator aggregator = new RequestAggregator(UpstreamClient.MAX_BUFFERED_BODY,
                                 MAX_BODY_BYTES, memory);
-                        CallerInput input = new CallerInput(clock::now, monitor.unreadSince());
+                        CallerInput input = new CallerInput(clock::now, monitor);
                         RequestDecoder decoder = new RequestDecoder();
                         channel.pipeline().addLast(input, decoder, new HttpResponseEncoder(), aggregator,
                                 new Connection(channel, input, decoder, aggregator));
@@ -454,9 +454,6 @@
         private final CallerInput input;
         private final RequestDecoder decoder;
         private final RequestAggregator aggregator;
-        /** The poll that accepted it, and the earliest time at which the caller may have connected. */
-        private final long openedInPoll = monitor.polls();
-        private final double openedAt = monitor.unreadSince();
         /** Start of the time without a request; once a request is arriving, the time of its first bytes. */
         private double idleSince = node.now();
         private boolean receivingRequest;
@@ -528,6 +525,7 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            input.setInRequest(hasPartialRequest());
             // The timeout of the first request counts from the start of the connection.
             if (served && hasPartialRequest() != receivingRequest) {
                 receivingRequest = !receivingRequest;
@@ -567,8 +565,7 @@
                     || !RequestParser.isGet(request) && !RequestParser.isPost(request)
                     || pipelined.size() == MAX_PIPELINED - 1 || !channel.isWritable();
             // A late loop reads a request long after it has arrived.
-            double unreadSince = unreadSince();
-            input.arrivedSince(unreadSince);
+            double unreadSince = input.unreadSince();
             double arrivedAt = node.now();
             if (arrivedAt > unreadSince + LoopMonitor.LATE_THRESHOLD_MS) {
                 arrivedAt = unreadSince;
@@ -582,15 +579,6 @@
             }
         }
 
-        /**
-         * Returns since when the bytes that are being read may have been waiting. Those of a new connection
-         * may have waited with it to be accepted.
-         */
-        private double unreadSince() {
-            return monitor.polls() <= openedInPoll + 1 ? Math.min(openedAt, monitor.unreadSince())
-                    : monitor.unreadSince();
-        }
-
         /**
          * Makes a request the current one and queues it. If the process was late to read the request, the end
          * of its connection may already be behind it and would be seen only after the request was sent on. So
--- a/src/main/java/cranedeal/node/Upload.java
+++ b/src/main/java/cranedeal/node/Upload.java
@@ -87,7 +87,7 @@
      * @param newTimeAllowed the time from the last byte of the body to the answer, in ms
      */
     void startClock(double arrivedAt, double newTimeAllowed) {
-        arrival.started(arrivedAt);
+        arrival.started(Math.min(arrivedAt, input.drainedAt()));
         timeAllowed = newTimeAllowed;
     }
 
--- a/src/test/java/cranedeal/node/MemoryPressureTest.java
+++ b/src/test/java/cranedeal/node/MemoryPressureTest.java
@@ -211,7 +211,9 @@
     @Test
     void aBodyThatNoAttemptTakesFailsIfMoreOfItsStartCannotBeHeld() {
         BodyBuffer start = new BodyBuffer(UnpooledByteBufAllocator.DEFAULT, (held, more) -> false);
-        CallerInput input = new CallerInput(() -> 0, 0);
+        LoopMonitor[] monitor = new LoopMonitor[1];
+        LoopMonitor.wrap(executor -> null, () -> 0, made -> monitor[0] = made).newHandler(null);
+        CallerInput input = new CallerInput(() -> 0, monitor[0]);
         new EmbeddedChannel(input);
         Upload upload = new Upload(input, new BodyArrival(-1), start, HoldLimit.NONE);
         List<Exception> errors = new ArrayList<>();
