Look for the end behind a body that has just come whole, before its attempt

The log with the state of the connection: unseen for 234 ms and put off four times, then its body came whole in the last look itself, which ended with the body, and a complete body was taken for a caller that is known to be connected.

Change: a look that began within a body goes on behind it until nothing is left, and counts as known only then. A request with a streamed body is looked at once more where its attempt begins, as small ones are.

--- a/src/main/java/cranedeal/node/CallerInput.java
+++ b/src/main/java/cranedeal/node/CallerInput.java
@@ -236,11 +236,12 @@
 
     /**
      * Reads on, unless reading is paused, and returns false if the connection has ended as far as is seen.
-     * Within a body it reads until nothing is left, or the body is read ahead as far as it may.
+     * Within a body it reads until nothing is left, also behind the body, or as far ahead as it may.
      */
     boolean isOpen() {
+        boolean wasInBody = isInBody();
         read();
-        for (int i = 1; i < MAX_READS && isInBody() && channel.isActive() && !isPaused() && !reading
+        for (int i = 1; i < MAX_READS && wasInBody && channel.isActive() && !isPaused() && !reading
                 && !empty; i++) {
             read();
         }
@@ -249,6 +250,11 @@
 
     /** Returns true if the caller is known to be connected: not if its end may lie behind an unread body. */
     boolean isKnownOpen() {
-        return isOpen() && (!isInBody() || clock.getAsDouble() <= drainedAt + MAX_UNSEEN_MS);
+        boolean wasInBody = isInBody();
+        if (!isOpen()) {
+            return false;
+        }
+        boolean seen = !wasInBody || !isInBody() && empty;
+        return seen || clock.getAsDouble() <= drainedAt + MAX_UNSEEN_MS;
     }
 }
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -91,7 +91,8 @@
         this.deadline = deadline;
         this.caller = caller;
         // The end of the connection may lie behind a body, unseen.
-        connectedCheckedAt = caller.mayLeaveUnseen() ? Double.NEGATIVE_INFINITY : now;
+        boolean unseen = upload != null || caller.mayLeaveUnseen();
+        connectedCheckedAt = unseen ? Double.NEGATIVE_INFINITY : now;
         metrics.requestStarted();
     }
 
