--- a/src/main/java/cranedeal/node/CallerInput.java
+++ b/src/main/java/cranedeal/node/CallerInput.java
@@ -129,13 +129,17 @@
         double now = clock.getAsDouble();
         if (body == null && !inRequest) {
             drainedAt = now;
-        } else if (!(now < openSince + MAX_DELAY_MS)) {
-            if (bytesSinceOpen < MIN_WINDOW_BYTES && now >= openSince + MAX_DELAY_MS) {
-                drained(now);
-            }
-            openSince = now;
-            bytesSinceOpen = 0;
+            return;
+        }
+        if (now < openSince + MAX_DELAY_MS) {
+            return;
+        }
+        // Comparing with NaN yields false.
+        if (now >= openSince && bytesSinceOpen < MIN_WINDOW_BYTES) {
+            drained(now);
         }
+        openSince = now;
+        bytesSinceOpen = 0;
     }
 
     private void drained(double now) {
