--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -191,9 +191,14 @@
         return status;
     }
 
-    static void signal(Process process, String name) throws Exception {
-        note("SIG" + name + " to process " + process.pid());
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    /** Sends a signal to processes that were started here, to all at once. */
+    static void signal(String name, Process... processes) throws Exception {
+        List<String> command = new ArrayList<>(List.of("kill", "-" + name));
+        for (Process process : processes) {
+            command.add(Long.toString(process.pid()));
+        }
+        note("SIG" + name + " to " + command.subList(2, command.size()));
+        new ProcessBuilder(command).start().waitFor();
     }
 
     /** Waits until GET path at an address answers 200. */
