End an answer that has begun and is neither whole in its time nor a long one

What callers saw: an upstream writes the head and some bytes of an answer of unknown length and then nothing, or a byte now and then. Its request, whose time is 2.5 s, ended after 10.5 s, or not before the upstream stopped.

Cause: an answer that is passed on took away the timer of its attempt and that of its request (Attempt.startStream, Exchange.startStream), whatever its size. Only a stall of 10 s ended it, and an answer that drips never stalls.

Change: there is one way to pass an answer on, AnswerStream, and it cannot be made without an AnswerDeadline: a rule without socket or clock that says at the end of a request's time whether the answer may go on. A length or a body of over 64 KiB says so; without a length, so does what comes in the 300 ms after the deadline, if at its pace the answer is over 64 KiB within 2 s. The time in which the caller reads nothing is not judged. A held answer of unknown length is no longer passed on as its attempt's time ends while its request has some left, as it can still be repeated. Log and metrics name such an end (`unended`, failed_for_unended_answer); NodeMetricsTest counts one metric more for it and looks for its name.

--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -76,8 +76,8 @@
     void attemptFinished(double now, Outcome outcome);
 
     /**
-     * Reports that the streamed answer of an attempt has started; from now on neither its timeout nor the
-     * deadline applies.
+     * Reports that the streamed answer of an attempt has started. From now on the module times neither; the
+     * host ends an answer that is not whole in its time and has to be.
      */
     void streamStarted(double now, long requestId, int attempt, double elapsed);
 
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -100,6 +100,11 @@
         return caller != null;
     }
 
+    /** Returns true if its answer has no deadline once it has started. */
+    boolean isUntimedOnceStarted() {
+        return serviceClass.streamed();
+    }
+
     /** Returns true while a streamed answer is being written. */
     boolean isStreaming() {
         return streamStarted() && isOpen();
@@ -162,16 +167,36 @@
         if (waitingCaller == null) {
             return;
         }
+        if (streamStarted()) {
+            breakOff("broken-off");
+            return;
+        }
         close();
         if (!status.equals(HttpResponseStatus.OK)) {
-            log.notServed(this, streamStarted() ? "broken-off" : status.codeAsText().toString());
-        }
-        metrics.requestAnswered(className, streamStarted() ? HttpResponseStatus.BAD_GATEWAY : status);
-        if (streamStarted()) {
-            waitingCaller.abort();
-        } else {
-            waitingCaller.answer(status, body, retryAfter);
+            log.notServed(this, status.codeAsText().toString());
         }
+        metrics.requestAnswered(className, status);
+        waitingCaller.answer(status, body, retryAfter);
+    }
+
+    /**
+     * Breaks off the answer that is being streamed.
+     *
+     * @param result the result of its attempt
+     */
+    void streamFailed(Result result) {
+        boolean unended = result == Result.TIMEOUT;
+        metrics.failed(unended ? NodeMetrics.FailureReason.UNENDED_ANSWER
+                : NodeMetrics.FailureReason.BROKEN_ANSWER);
+        breakOff(unended ? "unended" : "broken-off");
+    }
+
+    private void breakOff(String end) {
+        Caller waitingCaller = caller;
+        close();
+        log.notServed(this, end);
+        metrics.requestAnswered(className, HttpResponseStatus.BAD_GATEWAY);
+        waitingCaller.abort();
     }
 
     /** Rejects a request whose body turned out to be malformed; it counts for no class. */
@@ -184,7 +209,10 @@
         }
     }
 
-    /** Starts to stream the answer of an attempt and returns the sink for its chunks. */
+    /**
+     * Starts to stream the answer of an attempt, which from now on ends it in time, and returns the sink for
+     * its chunks.
+     */
     ResponseSink startStream(int number, long length, Runnable onWritable) {
         streamedAttempt = number;
         if (deadlineTimer != null) {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -865,8 +865,7 @@
         if (exchange.isStreamedBy(number) && result == Result.OK) {
             exchange.endStream();
         } else if (exchange.isStreamedBy(number)) {
-            metrics.failed(NodeMetrics.FailureReason.BROKEN_ANSWER);
-            exchange.answer(HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
+            exchange.streamFailed(result);
         } else if (result == Result.OK && !exchange.isStreaming()) {
             exchange.answer(HttpResponseStatus.OK, response.content(), 0);
         }
@@ -955,6 +954,11 @@
             public ResponseSink streamStarted(UpstreamClient.Attempt attempt, long length) {
                 return Node.this.startStreaming(exchange, number, now, attempt, length);
             }
+
+            @Override
+            public boolean isUntimedOnceStarted() {
+                return exchange.isUntimedOnceStarted();
+            }
         };
         exchange.attempts.add(upstreams.send(upstream, exchange.request, until, exchange.deadline, listener));
     }
--- a/src/main/java/cranedeal/node/NodeMetrics.java
+++ b/src/main/java/cranedeal/node/NodeMetrics.java
@@ -43,10 +43,12 @@
 
     /**
      * Why a request was answered as failed: its attempts failed, an answer broke off after it had started,
-     * the request was unanswered at its deadline, the decision module or the request handler threw an
-     * exception, or the process shut down.
+     * or did not end in time, the request was unanswered at its deadline, the decision module or the request
+     * handler threw an exception, or the process shut down.
      */
-    enum FailureReason { UPSTREAMS, BROKEN_ANSWER, DEADLINE, DECISION_ERROR, HANDLER_ERROR, ENDING }
+    enum FailureReason {
+        UPSTREAMS, BROKEN_ANSWER, UNENDED_ANSWER, DEADLINE, DECISION_ERROR, HANDLER_ERROR, ENDING
+    }
 
     /** The results of the requests of one service class. */
     private static final class ClassCounts {
--- a/src/main/java/cranedeal/node/ResponseAggregator.java
+++ b/src/main/java/cranedeal/node/ResponseAggregator.java
@@ -28,7 +28,8 @@
  */
 final class ResponseAggregator extends MessageToMessageDecoder<HttpObject> {
 
-    private static final long MAX_HOLD_MS = 200;
+    /** How long the start of an answer of unknown length is held, in ms. */
+    static final long MAX_HOLD_MS = 200;
 
     private final int maxBuffered;
     private final HoldLimit memory;
@@ -125,11 +126,20 @@
 
     /** Starts to stream a successful answer of unknown length of which something has arrived. */
     void streamIfBegun() {
-        if (head != null && lengthUnknown && received > 0 && head.status().equals(HttpResponseStatus.OK)) {
+        if (hasBegun()) {
             startStreaming(context);
         }
     }
 
+    /** Returns true if such an answer is still held, and soon comes whole or is streamed. */
+    boolean isHolding() {
+        return hasBegun() && !streamed;
+    }
+
+    private boolean hasBegun() {
+        return head != null && lengthUnknown && received > 0 && head.status().equals(HttpResponseStatus.OK);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -55,7 +55,7 @@
  */
 final class UpstreamClient {
 
-    static final int MAX_BUFFERED_BODY = 64 * 1024;
+    static final int MAX_BUFFERED_BODY = AnswerDeadline.MAX_SHORT_BYTES;
     /** Fraction of an upstream's idle limit after which this side closes a connection. */
     private static final double IDLE_LIMIT_FRACTION = 0.7;
     private static final long SWEEP_INTERVAL_MS = 1_000;
@@ -92,6 +92,11 @@
         default ResponseSink streamStarted(Attempt attempt, long length) {
             return null;
         }
+
+        /** Returns true if an answer has no deadline once it has started, as in a streamed class. */
+        default boolean isUntimedOnceStarted() {
+            return false;
+        }
     }
 
     private final EventLoop loop;
@@ -385,8 +390,9 @@
         private double startedAt;
         private double endedAt = Double.NaN;
         private Result result;
-        /** Where a streamed answer goes, once it has started, and when data last moved. */
-        private ResponseSink responseSink;
+        /** The streamed answer, once it has started. */
+        private AnswerStream answer;
+        /** When data of a streamed body last moved. */
         private double lastProgressAt;
         /** Chunks of a streamed body that the kernel has not taken yet. */
         private int unwrittenChunks;
@@ -408,7 +414,7 @@
         /** Sets when the attempt times out; infinity while its body is arriving. */
         private void setTimeoutAt(double newTimeoutAt) {
             timeoutAt = newTimeoutAt;
-            if (!ended && responseSink == null && timeoutAt < Double.POSITIVE_INFINITY) {
+            if (!ended && answer == null && timeoutAt < Double.POSITIVE_INFINITY) {
                 timeoutTimer = loop.schedule(this::expire, clock.nanosUntil(timeoutAt), TimeUnit.NANOSECONDS);
             }
         }
@@ -565,50 +571,40 @@
 
         /** Returns true if this side has waited for the upstream since before the given time. */
         private boolean isStalled(double since) {
-            return lastProgressAt < since && (responseSink == null ? !fullyWritten && unwrittenChunks > 0
-                    : responseSink.isWritable());
-        }
-
-        /** Stops reading the answer until {@link #resume}. */
-        private void pause() {
-            channel.config().setAutoRead(false);
+            return answer != null ? answer.isStalled(since)
+                    : lastProgressAt < since && !fullyWritten && unwrittenChunks > 0;
         }
 
         /** Reads on, as the sink of the answer is writable again. */
         void resume() {
-            if (!ended) {
-                recordProgress();
-                channel.config().setAutoRead(true);
+            if (answer != null) {
+                answer.resume();
             }
         }
 
         /** Starts a streamed answer; returns false if it is not wanted. */
         private boolean startStream(HttpResponse head) {
-            responseSink = listener.streamStarted(this, HttpUtil.getContentLength(head, -1L));
-            if (responseSink == null || ended) {
+            long length = HttpUtil.getContentLength(head, -1L);
+            ResponseSink sink = listener.streamStarted(this, length);
+            if (sink == null || ended) {
                 return false;
             }
             if (timeoutTimer != null) {
                 timeoutTimer.cancel(false);
             }
-            recordProgress();
+            double dueAt = listener.isUntimedOnceStarted() ? Double.POSITIVE_INFINITY : latestTimeoutAt;
+            answer = new AnswerStream(loop, clock, channel, sink, new AnswerDeadline(length, dueAt),
+                    () -> closeAndEnd(Result.TIMEOUT));
+            streaming.add(this);
             return true;
         }
 
-        private void streamChunk(ByteBuf chunk) {
-            recordProgress();
-            responseSink.writeChunk(chunk);
-            if (!ended && !responseSink.isWritable()) {
-                pause();
-            }
-        }
-
         /** Ends the attempt because its connection broke; a request not fully written cannot have run. */
         private void connectionLost() {
             if (!ended && fullyWritten && !Double.isNaN(connectionIdleMs)) {
                 recordReset(target, connectionIdleMs);
             }
-            closeAndEnd(fullyWritten || responseSink != null ? Result.RESET : Result.CONNECT_FAILED);
+            closeAndEnd(fullyWritten || answer != null ? Result.RESET : Result.CONNECT_FAILED);
         }
 
         /**
@@ -616,7 +612,7 @@
          * sockets, and must not charge its own lateness to the upstream.
          */
         private void readAnswerNow() {
-            if (!ended && fullyWritten && responseSink == null) {
+            if (!ended && fullyWritten && answer == null) {
                 Channels.readNow(channel);
             }
         }
@@ -628,10 +624,16 @@
          */
         private void expire() {
             readAnswerNow();
-            if (!ended && responseSink == null && fullyWritten) {
-                channel.pipeline().get(ResponseAggregator.class).streamIfBegun();
+            if (!ended && answer == null && fullyWritten) {
+                ResponseAggregator aggregator = channel.pipeline().get(ResponseAggregator.class);
+                if (aggregator.isHolding() && clock.now() < latestTimeoutAt) {
+                    // What is held can still come whole, or be repeated if it breaks; it is passed on soon.
+                    setTimeoutAt(latestTimeoutAt);
+                    return;
+                }
+                aggregator.streamIfBegun();
             }
-            if (ended || responseSink != null) {
+            if (ended || answer != null) {
                 return;
             }
             if (!fullyWritten && !polledAgain) {
@@ -659,7 +661,7 @@
                     + " start=" + Math.round(startedAt - since)
                     + (Double.isNaN(firstByteAt) ? "" : " first_byte=" + Math.round(firstByteAt - since))
                     + (Double.isNaN(connectionIdleMs) ? "" : " reused")
-                    + (fullyWritten ? " written" : "") + (responseSink == null ? "" : " streaming")
+                    + (fullyWritten ? " written" : "") + (answer == null ? "" : " streaming")
                     + (ended ? " " + result + "=" + Math.round(endedAt - since) : " out");
         }
 
@@ -700,6 +702,9 @@
                 timeoutTimer.cancel(false);
             }
             streaming.remove(this);
+            if (answer != null) {
+                answer.end();
+            }
             if (upload != null) {
                 upload.detach(this);
             }
@@ -823,7 +828,7 @@
                 return;
             }
             if (content.content().isReadable()) {
-                attempt.streamChunk(content.content().retain());
+                attempt.answer.writeChunk(content.content().retain());
             }
             if (last && !isComplete(streamedHead)) {
                 attempt.connectionLost();
--- a/src/test/java/cranedeal/node/NodeMetricsTest.java
+++ b/src/test/java/cranedeal/node/NodeMetricsTest.java
@@ -43,10 +43,11 @@
                 assertEquals(0, metrics.get("edge_proxy." + name), name);
             }
             assertEquals(3, metrics.get("edge_proxy.targets"));
-            for (String name : new String[] {"list_stale", "discovery_answered", "discovery_broken"}) {
+            for (String name : new String[] {"list_stale", "discovery_answered", "discovery_broken",
+                "failed_for_unended_answer"}) {
                 assertEquals(0, metrics.get("edge_proxy." + name), name);
             }
-            assertEquals(86, metrics.size());
+            assertEquals(87, metrics.size());
         }
     }
 
--- a/src/test/java/cranedeal/node/StreamedBodyTest.java
+++ b/src/test/java/cranedeal/node/StreamedBodyTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cranedeal.LoadBalancer.Result;
+import cranedeal.node.memory.BufferMemory;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +23,8 @@
 
     private static final String BODY = "0123456789abcdef".repeat(20_000);
     private static final int HALF = BODY.length() / 2;
+    /** So little that an answer of 60 kB is not held. */
+    private static final int LITTLE_MEMORY_BYTES = 64 << 10;
 
     private static String post(String framing) {
         return "POST /credit-spend HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Lane: credit-spend\r\n"
@@ -46,6 +49,10 @@
         return head.toString();
     }
 
+    private static long msSince(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+
     private static String chunked(String body) {
         StringBuilder text = new StringBuilder();
         for (int offset = 0; offset < body.length(); offset += 10_000) {
@@ -381,4 +388,75 @@
             assertEquals(Result.TIMEOUT, fixture.balancer.nextResult());
         }
     }
+
+    /** Guards against an answer that a second attempt keeps from its end, and one that nothing names. */
+    @Test
+    void anUnendedAnswerEndsWithASecondAttemptOutAndIsNamed() throws Exception {
+        try (NodeFixture fixture = new NodeFixture(2).start()) {
+            fixture.balancer.onRequest = request -> {
+                fixture.balancer.sendTo(0, request, 0);
+                fixture.balancer.sendTo(1, request, 0);
+            };
+            fixture.balancer.onOpenOutcome = (to, outcome) -> { };
+            HttpPeer caller = fixture.caller();
+            caller.write(NodeFixture.get("1", "1"));
+            HttpPeer upstream = fixture.upstreams.get(0).accept();
+            upstream.read();
+            HttpPeer second = fixture.upstreams.get(1).accept();
+            second.read();
+            long writtenAt = System.nanoTime();
+            upstream.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n");
+            readHead(caller);
+            assertEquals("5\r\nbegun\r\n", readBytes(caller, 10));
+            assertTrue(caller.awaitClose());
+            assertTrue(upstream.awaitClose());
+            assertTrue(second.awaitClose());
+            assertTrue(msSince(writtenAt) < UpstreamClient.STALL_TIMEOUT_MS, "only its stall ended it");
+            assertEquals(Result.TIMEOUT, fixture.balancer.nextResult());
+            assertEquals(Result.TIMEOUT, fixture.balancer.nextResult());
+            String stats = fixture.node.stats();
+            assertTrue(stats.contains("edge_proxy.failed_for_unended_answer=1\n"), stats);
+            assertTrue(stats.contains("edge_proxy.error.look-up=1\n"), stats);
+            assertTrue(stats.contains("edge_proxy.concurrent=0\n"), stats);
+        }
+    }
+
+    /** Guards against passing on a held answer, which could still be repeated, as its attempt's time ends. */
+    @Test
+    void anAnswerIsHeldBeyondItsAttemptsTimeWhileItsRequestHasTime() throws Exception {
+        try (NodeFixture fixture = new NodeFixture().start()) {
+            fixture.balancer.onRequest = request -> fixture.balancer.sendTo(0, request, 20);
+            HttpPeer caller = fixture.caller();
+            caller.write(NodeFixture.get("1", "10"));
+            HttpPeer upstream = fixture.upstreams.get(0).accept();
+            upstream.read();
+            long writtenAt = System.nanoTime();
+            upstream.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n");
+            readHead(caller);
+            long heldMs = msSince(writtenAt);
+            assertTrue(heldMs >= ResponseAggregator.MAX_HOLD_MS, "it was held for " + heldMs + " ms");
+            upstream.write("3\r\nend\r\n0\r\n\r\n");
+            assertEquals("begunend", readChunkedBody(caller));
+        }
+    }
+
+    /** Guards against an answer whose length is known, streamed for want of memory, that stops the clock. */
+    @Test
+    void aShortAnswerThatIsStreamedForWantOfMemoryEndsInItsTime() throws Exception {
+        NodeFixture fixture = new NodeFixture();
+        fixture.memory = new BufferMemory(LITTLE_MEMORY_BYTES);
+        try (fixture) {
+            fixture.start();
+            HttpPeer caller = fixture.caller();
+            caller.write(NodeFixture.get("1", "1"));
+            HttpPeer upstream = fixture.upstreams.get(0).accept();
+            upstream.read();
+            long writtenAt = System.nanoTime();
+            upstream.write("HTTP/1.1 200 OK\r\nContent-Length: 65000\r\n\r\n" + "x".repeat(60_000));
+            readHead(caller);
+            assertEquals(60_000, readBytes(caller, 65_000).length());
+            assertTrue(msSince(writtenAt) < UpstreamClient.STALL_TIMEOUT_MS, "only its stall ended it");
+            assertEquals(Result.TIMEOUT, fixture.balancer.nextResult());
+        }
+    }
 }
