Give up a call to the fleet whose answer begins and does not end

What operators saw: none has reported it. `fleet members`, `fleet config status`, `publish`, `rollback` and `take-over` wait for ever once a process has written the head of its answer and then hangs.

Change: the three commands call through one FleetClient, whose time limit is for the whole call and cancels it. Their own copies of that code are gone.

--- a/src/main/java/cranedeal/fleet/command/ConfigCommand.java
+++ b/src/main/java/cranedeal/fleet/command/ConfigCommand.java
@@ -7,10 +7,7 @@
 import cranedeal.fleet.config.ConfigDocument;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.URI;
 import java.net.URLEncoder;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -37,7 +34,6 @@
 final class ConfigCommand implements Callable<Integer> {
 
     static final JsonMapper JSON = new JsonMapper();
-    static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     /** Longer than a coordinator waits for the other coordinators. */
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(6);
 
@@ -213,22 +209,15 @@
         out.flush();
     }
 
+    /** A coordinator's answer; null if there is none in time. */
     private static Answer post(String address, String uri, byte[] body) {
-        HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-                .connectTimeout(CONNECT_TIMEOUT).build();
         try {
-            HttpResponse<byte[]> response = http.send(HttpRequest.newBuilder(URI.create("http://" + address
-                    + uri)).timeout(REQUEST_TIMEOUT)
-                    .POST(HttpRequest.BodyPublishers.ofByteArray(body)).build(),
-                    HttpResponse.BodyHandlers.ofByteArray());
+            HttpResponse<byte[]> response = new FleetClient(REQUEST_TIMEOUT).post(address, uri, body);
             String text = new String(response.body(), StandardCharsets.UTF_8);
             return new Answer(response.statusCode(), text.startsWith("{") ? JSON.readTree(text)
                     : JSON.createObjectNode(), text);
         } catch (IOException e) {
             return null;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return null;
         }
     }
 }
--- a/src/main/java/cranedeal/fleet/command/ConfigStatusCommand.java
+++ b/src/main/java/cranedeal/fleet/command/ConfigStatusCommand.java
@@ -9,10 +9,6 @@
 import cranedeal.fleet.membership.FleetMember;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -40,8 +36,7 @@
     @Mixin
     private ConfigCommand.CoordinatorOptions coordinatorOptions;
 
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(ConfigCommand.CONNECT_TIMEOUT).build();
+    private final FleetClient client = new FleetClient(REQUEST_TIMEOUT);
     private final Semaphore requestPermits = new Semaphore(MAX_CONCURRENT_REQUESTS);
 
     @Override
@@ -82,18 +77,16 @@
     /** The answer in JSON; null if there is none, and an empty object for a status other than 200. */
     private CompletableFuture<JsonNode> get(String address, String path) {
         requestPermits.acquireUninterruptibly();
-        return http.sendAsync(HttpRequest.newBuilder(URI.create("http://" + address + path))
-                .timeout(REQUEST_TIMEOUT)
-                .build(), HttpResponse.BodyHandlers.ofByteArray()).handle((response, failure) -> {
-                    requestPermits.release();
-                    try {
-                        return failure != null ? null : response.statusCode() != 200
-                                ? ConfigCommand.JSON.createObjectNode()
-                                : ConfigCommand.JSON.readTree(response.body());
-                    } catch (IOException e) {
-                        return null;
-                    }
-                });
+        return client.get(address, path).handle((response, failure) -> {
+            requestPermits.release();
+            try {
+                return failure != null ? null : response.statusCode() != 200
+                        ? ConfigCommand.JSON.createObjectNode()
+                        : ConfigCommand.JSON.readTree(response.body());
+            } catch (IOException e) {
+                return null;
+            }
+        });
     }
 
     private static VersionId versionId(JsonNode json, String key) {
--- a/src/main/java/cranedeal/fleet/command/MembersCommand.java
+++ b/src/main/java/cranedeal/fleet/command/MembersCommand.java
@@ -7,10 +7,6 @@
 import cranedeal.fleet.membership.FleetMember;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -43,19 +39,18 @@
     @Option(names = "--json", description = "Answer in JSON.")
     private boolean json;
 
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(REQUEST_TIMEOUT).build();
+    private final FleetClient client = new FleetClient(REQUEST_TIMEOUT);
 
     @Override
     public Integer call() throws CommandException {
-        HttpRequest request;
+        CompletableFuture<JsonNode> answer;
         try {
-            request = request(address);
+            answer = get(address);
         } catch (IllegalArgumentException e) {
             throw new CommandException(Program.USAGE_ERROR, "'" + address
                     + "' is not an address with a port");
         }
-        JsonNode view = get(request).join();
+        JsonNode view = answer.join();
         if (view == null) {
             throw new CommandException(1, "no member answers at " + address);
         }
@@ -65,15 +60,9 @@
         return code;
     }
 
-    private static HttpRequest request(String memberAddress) {
-        URI members = URI.create("http://" + memberAddress + FleetMember.VIEW_PATH);
-        return HttpRequest.newBuilder(members).timeout(REQUEST_TIMEOUT).build();
-    }
-
     /** A member's view; null if it does not answer. */
-    private CompletableFuture<JsonNode> get(HttpRequest request) {
-        var answer = http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
-        return answer.handle((response, failure) -> {
+    private CompletableFuture<JsonNode> get(String memberAddress) {
+        return client.get(memberAddress, FleetMember.VIEW_PATH).handle((response, failure) -> {
             try {
                 return failure != null || response.statusCode() != 200 ? null
                         : JSON.readTree(response.body());
@@ -111,7 +100,7 @@
         Map<String, CompletableFuture<JsonNode>> pending = new LinkedHashMap<>();
         for (JsonNode member : view.path("members")) {
             if (isPresent(member)) {
-                pending.put(member.path("name").asText(), get(request(member.path("address").asText())));
+                pending.put(member.path("name").asText(), get(member.path("address").asText()));
             }
         }
         Map<String, Map<String, String>> views = new LinkedHashMap<>();
--- a/src/main/java/cranedeal/node/AnswerDeadline.java
+++ b/src/main/java/cranedeal/node/AnswerDeadline.java
@@ -10,8 +10,9 @@
  * <caption>What is owed</caption>
  * <tr><th>state</th><th>event</th><th>then</th></tr>
  * <tr><td>{@code DUE}</td><td>a known length, or bytes, over the size</td><td>{@code LONG}</td></tr>
- * <tr><td>{@code DUE}</td><td>the caller reads nothing</td><td>{@code DUE}; what comes is not judged</td></tr>
- * <tr><td>{@code DUE}</td><td>the caller reads again</td><td>{@code DUE}; judged {@code JUDGE_MS} later</td></tr>
+ * <tr><td>{@code DUE}</td><td>the caller reads nothing</td><td>{@code DUE}; not judged</td></tr>
+ * <tr><td>{@code DUE}</td><td>the caller reads again</td>
+ * <td>{@code DUE}; judged {@code JUDGE_MS} later</td></tr>
  * <tr><td>{@code DUE}</td><td>{@code JUDGE_MS} over the deadline, a known length</td>
  * <td>{@code OVERDUE}</td></tr>
  * <tr><td>{@code DUE}</td><td>the same, no length, and what came meanwhile is too little</td>
--- a/src/test/java/cranedeal/node/AnswerDeadlineTest.java
+++ b/src/test/java/cranedeal/node/AnswerDeadlineTest.java
@@ -65,7 +65,7 @@
         }
     }
 
-    /** {@code held} bytes come before the answer is passed on, {@code later} come 100 ms over the deadline. */
+    /** {@code held} bytes come before the answer is passed on, {@code later} 100 ms after the deadline. */
     @ParameterizedTest
     @CsvSource({
         // length, held, later, the state at the end of the grace
--- a/src/test/java/cranedeal/node/UnendedAnswerTest.java
+++ b/src/test/java/cranedeal/node/UnendedAnswerTest.java
@@ -159,7 +159,7 @@
         }
     }
 
-    /** Guards against an answer that stops its request's clock by beginning, and against cutting long ones. */
+    /** Guards against an answer that stops the clock by beginning, and against cutting off long ones. */
     @Test
     void anAnswerThatBeginsAndDoesNotEndIsEndedInItsTimeAndALongOneComesWhole() throws Exception {
         try (NodeFixture fixture = new NodeFixture(UPSTREAMS); NodeProcess node = new NodeProcess(fixture)) {
