Show that a drain and an upgrade do not wait for answers that do not end

UnendedAnswerTest sends SIGTERM to a process with answers of all framings under way that begin and do not end, alone and with a successor: each request ends in its time and half a second, and the process before the kill that may follow after 3.2 s.

awaitReady moves from LossSoakTest to NodeProcess, as both tests need it.

--- a/src/test/java/cranedeal/node/LossSoakTest.java
+++ b/src/test/java/cranedeal/node/LossSoakTest.java
@@ -93,7 +93,7 @@
             NodeProcess second = upgrade ? start(fixture, shared, first) : null;
             if (upgrade) {
                 opened.add(second);
-                awaitReady(second);
+                second.awaitReady();
             }
             String delays = first.stats().lines().filter(line -> line.contains("loop_busy_longest"))
                     .findFirst().orElseThrow();
@@ -156,20 +156,6 @@
         }
     }
 
-    private static void awaitReady(NodeProcess process) throws Exception {
-        while (true) {
-            assertTrue(process.process.isAlive(), () -> String.join("\n", process.log()));
-            try (HttpPeer operator = HttpPeer.connect(process.adminAddress)) {
-                operator.write("GET /ops/readiness HTTP/1.1\r\nHost: ops\r\n\r\n");
-                if (operator.read().status() == 200) {
-                    return;
-                }
-            } catch (IOException e) {
-                Thread.onSpinWait();
-            }
-        }
-    }
-
     private static long msSince(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
     }
--- a/src/test/java/cranedeal/node/NodeProcess.java
+++ b/src/test/java/cranedeal/node/NodeProcess.java
@@ -109,6 +109,21 @@
         }
     }
 
+    /** Waits until the process takes callers; it needs an admin endpoint. */
+    void awaitReady() {
+        while (true) {
+            assertTrue(process.isAlive(), () -> String.join("\n", log()));
+            try (HttpPeer operator = HttpPeer.connect(adminAddress)) {
+                operator.write("GET /ops/readiness HTTP/1.1\r\nHost: ops\r\n\r\n");
+                if (operator.read().status() == 200) {
+                    return;
+                }
+            } catch (IOException e) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     /** Returns the most memory that the process has held so far, in KB. */
     long peakMemoryKb() throws IOException {
         return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
--- a/src/test/java/cranedeal/node/UnendedAnswerTest.java
+++ b/src/test/java/cranedeal/node/UnendedAnswerTest.java
@@ -5,6 +5,8 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -12,6 +14,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The program as a process, before upstreams whose answers begin and, some of them, do not end. */
 @Timeout(120)
@@ -28,6 +33,9 @@
     private static final int PIECE_BYTES = 3_200;
     private static final int PIECE_EVERY_MS = 50;
     private static final int DRIP_EVERY_MS = 300;
+    private static final int BEFORE_SIGTERM_MS = 1_000;
+    /** The longest deadline of the fixture's settings and 0.7 s. */
+    private static final int KILL_AFTER_MS = 3_200;
     private static final int DRIPS = 40;
     /** Others may be refused, as slow answers look like overload. */
     private static final double MIN_WHOLE = 0.5;
@@ -68,6 +76,8 @@
     }
 
     private final AtomicInteger longWhole = new AtomicInteger();
+    /** Callers that have the start of an answer that does not end. */
+    private final AtomicInteger unended = new AtomicInteger();
 
     /** Answers as the ids ask for, until the connection ends. */
     private static void serve(HttpPeer connection) {
@@ -126,6 +136,7 @@
             long writtenAt = System.nanoTime();
             String status = caller.readLine();
             caller.readHeaders();
+            unended.addAndGet(play.body() == Body.LONG ? 0 : 1);
             long bytes = status != null && status.contains(" 200 ") ? readBody(caller, play.http10()) : 0;
             long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - writtenAt);
             longWhole.addAndGet(play.body() == Body.LONG && bytes == LONG_BYTES ? 1 : 0);
@@ -177,4 +188,45 @@
             assertTrue(longWhole.get() >= wanted, longWhole + " of " + longAnswers + " came whole");
         }
     }
+
+    /** Guards against a drain, or an upgrade, that waits for answers that do not end. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void unendedAnswersEndInTheirTimeAlsoInADrainAndAnUpgrade(boolean upgrade, @TempDir Path shared)
+            throws Exception {
+        NodeFixture fixture = new NodeFixture(UPSTREAMS);
+        fixture.adminEnabled = true;
+        try (fixture; NodeProcess first = start(fixture, shared, NodeProcess.freeAddress())) {
+            fixture.upstreams.forEach(upstream -> upstream.serveEach(UnendedAnswerTest::serve));
+            HttpPeer.connectWhenServing(first.address, first.process).close();
+            List<Callable<String>> plays = new ArrayList<>();
+            for (Body body : new Body[] {Body.START, Body.DRIP}) {
+                for (Framing framing : Framing.values()) {
+                    Play play = new Play(plays.size(), framing, body, TIMES_MS[1], false);
+                    plays.add(() -> wrong(first, play));
+                }
+            }
+            int begun = plays.size();
+            plays.add(() -> {
+                while (unended.get() < begun) {
+                    Thread.sleep(1);
+                }
+                try (NodeProcess second = upgrade ? start(fixture, shared, first.address) : null) {
+                    if (upgrade) {
+                        second.awaitReady();
+                    }
+                    Thread.sleep(BEFORE_SIGTERM_MS);
+                    first.signal("TERM");
+                    return first.process.waitFor(KILL_AFTER_MS, TimeUnit.MILLISECONDS) ? null
+                            : "the process waits on";
+                }
+            });
+            assertEquals(List.of(), Plays.run(plays, plays.size()), () -> String.join("\n", first.log()));
+        }
+    }
+
+    private static NodeProcess start(NodeFixture fixture, Path shared, InetSocketAddress address)
+            throws Exception {
+        return new NodeProcess(fixture, fixture.discovery.address(), List.of(), Main.class, shared, address);
+    }
 }
