Move the idle limit that resets teach into a class of its own

IdleLimit holds it now, without clock or socket; the figures and the order of its steps are the same.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -56,11 +56,7 @@
 final class UpstreamClient {
 
     static final int MAX_BUFFERED_BODY = AnswerDeadline.MAX_SHORT_BYTES;
-    /** Fraction of an upstream's idle limit after which this side closes a connection. */
-    private static final double IDLE_LIMIT_FRACTION = 0.7;
     private static final long SWEEP_INTERVAL_MS = 1_000;
-    /** Two resets this close together teach a lower idle limit, which then doubles each time this passes. */
-    private static final double RESET_WINDOW_MS = 30_000;
     private static final double LOG_INTERVAL_MS = 10_000;
     /** How long a streamed body or answer may make no progress before its attempt is ended. */
     static final double STALL_TIMEOUT_MS = 10_000;
@@ -114,13 +110,7 @@
     private final Set<Long> banned = new HashSet<>();
     /** The attempts that stream a body or an answer. */
     private final Set<Attempt> streaming = new HashSet<>();
-    /** Limit on the idle time of reused connections, learned from resets, and when it was learned. */
-    private double learnedIdleLimit = Double.POSITIVE_INFINITY;
-    private double learnedAt;
-    /** The last reset of a reused connection: its upstream, when, and how long it had been idle before. */
-    private Target lastResetTarget;
-    private double lastResetAt = Double.NEGATIVE_INFINITY;
-    private double lastResetIdleMs;
+    private final IdleLimit idleLimit = new IdleLimit();
     /** Malformed responses since this count was last logged. */
     private int malformedResponses;
     private double loggedAt = Double.NEGATIVE_INFINITY;
@@ -169,6 +159,7 @@
     /** Applies new settings to later attempts; those in flight keep their timeouts. */
     final void settingsChanged(Settings newSettings) {
         settings = newSettings;
+        idleLimit.configure(settings.limits().connectionIdle());
         bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 (int) Math.max(1, settings.limits().connectTimeout()));
     }
@@ -297,7 +288,7 @@
         double stalledSince = clock.now() - STALL_TIMEOUT_MS;
         List.copyOf(streaming).stream().filter(attempt -> attempt.isStalled(stalledSince))
                 .forEach(Attempt::endStalled);
-        double oldestAllowed = clock.now() - maxIdleMs();
+        double oldestAllowed = clock.now() - idleLimit.maxIdleMs(clock.now());
         while (!idleConnections.isEmpty() && idleConnections.iterator().next().idleSince < oldestAllowed) {
             metrics.connectionClosed(NodeMetrics.CloseReason.UPSTREAM_IDLE);
             evictIdle();
@@ -323,31 +314,6 @@
         return targets.size();
     }
 
-    /**
-     * Returns how long a connection may have been idle and still be reused. The settings hold an upper bound
-     * for when upstreams close idle connections. Some close them far sooner, and a request that crosses the
-     * close may have run.
-     */
-    private double maxIdleMs() {
-        double decayedLimit = learnedIdleLimit * Math.pow(2, (clock.now() - learnedAt) / RESET_WINDOW_MS);
-        return Math.min(decayedLimit, IDLE_LIMIT_FRACTION * settings.limits().connectionIdle());
-    }
-
-    /**
-     * Lowers the idle limit when two upstreams reset reused connections at about the same time: they seem to
-     * close idle connections early. A single upstream that does so may have crashed.
-     */
-    private void recordReset(Target target, double idleMs) {
-        double now = clock.now();
-        if (target != lastResetTarget && now < lastResetAt + RESET_WINDOW_MS) {
-            learnedIdleLimit = Math.min(maxIdleMs(), Math.max(idleMs, lastResetIdleMs) / 2);
-            learnedAt = now;
-        }
-        lastResetTarget = target;
-        lastResetAt = now;
-        lastResetIdleMs = idleMs;
-    }
-
     /** Closes the connection that has been idle for longest; returns false if there is none. */
     private boolean evictIdle() {
         if (idleConnections.isEmpty()) {
@@ -602,7 +568,7 @@
         /** Ends the attempt because its connection broke; a request not fully written cannot have run. */
         private void connectionLost() {
             if (!ended && fullyWritten && !Double.isNaN(connectionIdleMs)) {
-                recordReset(target, connectionIdleMs);
+                idleLimit.recordReset(target, connectionIdleMs, clock.now());
             }
             closeAndEnd(fullyWritten || answer != null ? Result.RESET : Result.CONNECT_FAILED);
         }
@@ -720,7 +686,7 @@
     }
 
     private Connection takeIdle(Target target) {
-        double oldestAllowed = clock.now() - maxIdleMs();
+        double oldestAllowed = clock.now() - idleLimit.maxIdleMs(clock.now());
         for (Connection c = target.idleConnections.pollLast(); c != null;
                 c = target.idleConnections.pollLast()) {
             idleConnections.remove(c);
