--- a/src/test/java/cranedeal/node/StreamedBodyTest.java
+++ b/src/test/java/cranedeal/node/StreamedBodyTest.java
@@ -462,4 +462,65 @@
             assertEquals(Result.TIMEOUT, fixture.balancer.nextResult());
         }
     }
+
+    /** Guards against cutting off a long answer without a length between two of its pieces. */
+    @Test
+    void aLongAnswerWithoutALengthIsNotCutOffBetweenItsPieces() throws Exception {
+        try (NodeFixture fixture = new NodeFixture().start()) {
+            HttpPeer caller = fixture.caller();
+            caller.write(NodeFixture.get("1", "1"));
+            HttpPeer upstream = fixture.upstreams.get(0).accept();
+            upstream.read();
+            AnswerPlan plan = AnswerPlan.steady(AnswerPlan.Framing.CHUNKED, 200_000, 0, 30_000, 700);
+            CompletableFuture<Void> written = CompletableFuture.runAsync(() -> writePlan(plan, upstream));
+            ReceivedAnswer answer = ReceivedAnswer.read(caller, System.nanoTime(), 0);
+            assertEquals(plan.bytes(), answer.bytes());
+            assertTrue(answer.whole());
+            assertEquals(Result.OK, fixture.balancer.nextResult());
+            written.get();
+        }
+    }
+
+    private static void writePlan(AnswerPlan plan, HttpPeer upstream) {
+        try {
+            plan.write(upstream);
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Guards against an attempt without a time limit, as its request's body ended while it was being sent. */
+    @Test
+    void anAttemptDuringWhoseSendTheBodyEndsHasItsRequestsTime() throws Exception {
+        try (NodeFixture fixture = new NodeFixture().start()) {
+            HttpPeer caller = fixture.caller();
+            caller.write(NodeFixture.get("0", "10"));
+            HttpPeer upstream = fixture.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(NodeFixture.ok("served"));
+            assertEquals("served", caller.read().body());
+            assertEquals(Result.OK, fixture.balancer.nextResult());
+            CompletableFuture<Void> decided = new CompletableFuture<>();
+            CompletableFuture<Void> bodyWritten = new CompletableFuture<>();
+            fixture.balancer.onRequest = request -> {
+                decided.complete(null);
+                bodyWritten.join();
+                fixture.balancer.sendTo(0, request, 0);
+            };
+            caller.write(post("Content-Length: " + BODY.length()).replace("X-Remaining: 10", "X-Remaining: 1"));
+            caller.write(BODY.substring(0, HALF));
+            decided.get();
+            caller.write(BODY.substring(HALF));
+            long writtenAt = System.nanoTime();
+            bodyWritten.complete(null);
+            readHead(upstream);
+            assertEquals(BODY, readBytes(upstream, BODY.length()));
+            upstream.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n");
+            readHead(caller);
+            assertEquals("5\r\nbegun\r\n", readBytes(caller, 10));
+            assertTrue(caller.awaitClose());
+            assertTrue(msSince(writtenAt) < UpstreamClient.STALL_TIMEOUT_MS, "only its stall ended it");
+            assertEquals(Result.TIMEOUT, fixture.balancer.nextResult());
+        }
+    }
 }
