Let an attempt read its request's deadline instead of being told it

Cause: the deadline of a request with a streamed body is known once the body has come. It was set at the attempts that the request had then. A look for the caller's end, right before an attempt is written to a pooled connection, may read the end of the body; that attempt joined the request's list only after its send. It kept an infinite time, so that an answer that began had no deadline at all.

Change: the attempt asks its request for the deadline whenever it needs it, and has one timer, which is replaced (setDeadline used to set a second one beside the first).

--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -790,7 +790,7 @@
             exchange.deadlineTimer.cancel(false);
             watch(exchange);
             exchange.attempts.stream().filter(Objects::nonNull)
-                    .forEach(attempt -> attempt.setDeadline(exchange.deadline));
+                    .forEach(UpstreamClient.Attempt::deadlineChanged);
         }
 
         @Override
@@ -938,7 +938,7 @@
             finished(exchange, number, upstream, now, Result.NOT_SENT, null);
             return;
         }
-        double until = timeout == 0 ? exchange.deadline : Math.min(exchange.deadline, now + timeout);
+        double until = timeout == 0 ? Double.POSITIVE_INFINITY : now + timeout;
         UpstreamClient.Listener listener = new UpstreamClient.Listener() {
             @Override
             public void finished(Result result, FullHttpResponse response) {
@@ -955,12 +955,17 @@
                 return Node.this.startStreaming(exchange, number, now, attempt, length);
             }
 
+            @Override
+            public double deadline() {
+                return exchange.deadline;
+            }
+
             @Override
             public boolean isUntimedOnceStarted() {
                 return exchange.isUntimedOnceStarted();
             }
         };
-        exchange.attempts.add(upstreams.send(upstream, exchange.request, until, exchange.deadline, listener));
+        exchange.attempts.add(upstreams.send(upstream, exchange.request, until, listener));
     }
 
     /** Returns why the next attempt of a request must not begin; null if it may. */
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -89,6 +89,14 @@
             return null;
         }
 
+        /**
+         * Returns the deadline of the request, in ms of the clock; infinity while its body is arriving.
+         * {@link Attempt#deadlineChanged} has to be called after a change.
+         */
+        default double deadline() {
+            return Double.POSITIVE_INFINITY;
+        }
+
         /** Returns true if an answer has no deadline once it has started, as in a streamed class. */
         default boolean isUntimedOnceStarted() {
             return false;
@@ -247,21 +255,20 @@
     /**
      * Sends a request to an upstream. Time by which this process itself delays the attempt does not count
      * against the upstream and extends the timeout. The request and the listener are used until
-     * {@link Listener#finished} has been called. A body that is still arriving has no timeout.
+     * {@link Listener#finished} has been called.
      *
-     * @param timeoutAt when the attempt times out, in ms of the clock
-     * @param latestTimeoutAt until when the timeout may be extended
+     * @param timeoutAt when the attempt times out, in ms of the clock, if its request's deadline is not
+     *     earlier
      */
-    Attempt send(long upstream, FullHttpRequest request, double timeoutAt, double latestTimeoutAt,
-            Listener listener) {
-        return send(upstream, request, false, timeoutAt, latestTimeoutAt, listener);
+    Attempt send(long upstream, FullHttpRequest request, double timeoutAt, Listener listener) {
+        return send(upstream, request, false, timeoutAt, listener);
     }
 
     private Attempt send(long upstream, FullHttpRequest request, boolean probe, double timeoutAt,
-            double latestTimeoutAt, Listener listener) {
-        Attempt attempt = new Attempt(request, probe, latestTimeoutAt, listener);
-        attempt.setTimeoutAt(timeoutAt);
+            Listener listener) {
+        Attempt attempt = new Attempt(request, probe, timeoutAt, listener);
         attempt.start(targets.get(upstream));
+        attempt.scheduleTimeout();
         return attempt;
     }
 
@@ -269,7 +276,7 @@
     void probe(long upstream, double timeoutAt, Listener listener) {
         String path = settings.reportFields().isEmpty() ? "/ping" : "/_load";
         send(upstream, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
-                Unpooled.EMPTY_BUFFER), true, timeoutAt, timeoutAt, listener);
+                Unpooled.EMPTY_BUFFER), true, timeoutAt, listener);
     }
 
     void closeIdle(long upstream) {
@@ -334,9 +341,11 @@
         /** The body if it is streamed; otherwise null. */
         private final Upload upload;
         private final Listener listener;
-        private double timeoutAt;
-        /** Until when {@link #timeoutAt} may be extended, and for how many ms this process delayed it. */
-        private double latestTimeoutAt;
+        /** When it times out unless the deadline is earlier, in ms of the clock. */
+        private double ownTimeoutAt;
+        /** Deadline of a probe, in ms of the clock; infinity for a request, which has its own. */
+        private final double probeDeadline;
+        /** For how many ms this process delayed it. */
         private double localDelay;
         private Future<?> timeoutTimer;
         /** True if the sockets have been polled once more since the timeout. */
@@ -363,25 +372,40 @@
         /** Chunks of a streamed body that the kernel has not taken yet. */
         private int unwrittenChunks;
 
-        private Attempt(FullHttpRequest request, boolean probe, double latestTimeoutAt, Listener listener) {
+        private Attempt(FullHttpRequest request, boolean probe, double timeoutAt, Listener listener) {
             this.request = request;
             this.probe = probe;
-            this.latestTimeoutAt = latestTimeoutAt;
+            this.ownTimeoutAt = timeoutAt;
+            this.probeDeadline = probe ? timeoutAt : Double.POSITIVE_INFINITY;
             this.listener = listener;
             upload = request instanceof StreamedRequest large ? large.upload : null;
         }
 
-        /** Sets when the attempt times out, now that its streamed body has arrived. */
-        void setDeadline(double deadline) {
-            latestTimeoutAt = deadline;
-            setTimeoutAt(deadline);
+        /** The deadline of its request has changed. */
+        void deadlineChanged() {
+            scheduleTimeout();
         }
 
-        /** Sets when the attempt times out; infinity while its body is arriving. */
-        private void setTimeoutAt(double newTimeoutAt) {
-            timeoutAt = newTimeoutAt;
-            if (!ended && answer == null && timeoutAt < Double.POSITIVE_INFINITY) {
-                timeoutTimer = loop.schedule(this::expire, clock.nanosUntil(timeoutAt), TimeUnit.NANOSECONDS);
+        /** Returns when it times out, in ms of the clock; infinity if it does not. */
+        private double timeoutAt() {
+            return Math.min(ownTimeoutAt, deadline());
+        }
+
+        private double deadline() {
+            return Math.min(probeDeadline, listener.deadline());
+        }
+
+        private void scheduleTimeout() {
+            cancelTimeout();
+            if (!ended && answer == null && timeoutAt() < Double.POSITIVE_INFINITY) {
+                timeoutTimer = loop.schedule(this::expire, clock.nanosUntil(timeoutAt()),
+                        TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void cancelTimeout() {
+            if (timeoutTimer != null) {
+                timeoutTimer.cancel(false);
             }
         }
 
@@ -431,10 +455,8 @@
         /** Extends the timeout by the ms for which its connection was up before this process noticed. */
         private void extendTimeout(double ms) {
             localDelay += ms;
-            if (ms > 0 && timeoutAt < latestTimeoutAt) {
-                timeoutTimer.cancel(false);
-                setTimeoutAt(Math.min(latestTimeoutAt, timeoutAt + ms));
-            }
+            ownTimeoutAt += ms;
+            scheduleTimeout();
         }
 
         /** Returns by how many ms this process delayed the attempt before its request was written. */
@@ -450,7 +472,7 @@
             boolean graceOver = !target.listed
                     || now >= target.drainingSince + settings.rules().drainGrace();
             boolean restarted = !target.isSameProcess(intendedMember);
-            boolean obsolete = graceOver || restarted || now >= timeoutAt
+            boolean obsolete = graceOver || restarted || now >= timeoutAt()
                     || upload != null && !upload.isRepeatable() || !listener.maySend();
             if (ended) {
                 // The listener has cancelled the attempt from maySend, which closed the connection.
@@ -462,7 +484,7 @@
                 } else {
                     connection.returnToPool(target);
                 }
-                end(now >= timeoutAt && localDelay > 0 ? Result.NOT_SENT : Result.CONNECT_FAILED, null);
+                end(now >= timeoutAt() && localDelay > 0 ? Result.NOT_SENT : Result.CONNECT_FAILED, null);
                 return;
             }
             firstByteAt = now;
@@ -487,7 +509,7 @@
             headers.set(request.headers());
             HOP_BY_HOP.forEach(headers::remove);
             headers.set("Host", target.member.address().getHostString());
-            double waitsUntil = upload == null ? timeoutAt : Math.min(timeoutAt, upload.deadline());
+            double waitsUntil = upload == null ? timeoutAt() : Math.min(timeoutAt(), upload.deadline());
             if (waitsUntil < Double.POSITIVE_INFINITY) {
                 // Rounded down, so that the upstream never sees more time than is left.
                 headers.set("X-Remaining", formatSeconds(Math.max(0, waitsUntil - now)));
@@ -555,10 +577,8 @@
             if (sink == null || ended) {
                 return false;
             }
-            if (timeoutTimer != null) {
-                timeoutTimer.cancel(false);
-            }
-            double dueAt = listener.isUntimedOnceStarted() ? Double.POSITIVE_INFINITY : latestTimeoutAt;
+            cancelTimeout();
+            double dueAt = listener.isUntimedOnceStarted() ? Double.POSITIVE_INFINITY : deadline();
             answer = new AnswerStream(loop, clock, channel, sink, new AnswerDeadline(length, dueAt),
                     () -> closeAndEnd(Result.TIMEOUT));
             streaming.add(this);
@@ -592,9 +612,10 @@
             readAnswerNow();
             if (!ended && answer == null && fullyWritten) {
                 ResponseAggregator aggregator = channel.pipeline().get(ResponseAggregator.class);
-                if (aggregator.isHolding() && clock.now() < latestTimeoutAt) {
+                if (aggregator.isHolding() && clock.now() < deadline()) {
                     // What is held can still come whole, or be repeated if it breaks; it is passed on soon.
-                    setTimeoutAt(latestTimeoutAt);
+                    ownTimeoutAt = deadline();
+                    scheduleTimeout();
                     return;
                 }
                 aggregator.streamIfBegun();
@@ -664,9 +685,7 @@
             endedAt = clock.now();
             result = endResult;
             neverRan = result.neverRan();
-            if (timeoutTimer != null) {
-                timeoutTimer.cancel(false);
-            }
+            cancelTimeout();
             streaming.remove(this);
             if (answer != null) {
                 answer.end();
