Hold, pass on and end an answer by one table from its head to its last byte

Cause: three places decided what an answer is owed, each with timers of its own: the hold in ResponseAggregator, Attempt.expire, and AnswerDeadline, which began only after both.

Change: AnswerLifecycle is the one table, without socket or clock, from before the head to the last byte, stall included; the aggregator only holds and passes on, the attempt has one timer for all. A successful answer that is or may be long isn't ended by its attempt's time any more. A head whose length is over 64 KiB is passed on, flushed, 200 ms after it came, at the latest as its attempt's time ends; it has said what it is. A head without a length is held until its body begins, and ended at the request's deadline if it doesn't. A short length keeps the attempt's time. Logs say of each attempt how far its answer had come (answer=, head=, bytes=), metrics count attempts that time out by that state (timed_out_*).

Tests. anAnswerThatIsAHeadAndThenNothingTimesOut held for both framings. In its place stands that the head reaches its caller in its time, that the answer has its 10 s, and that it ends then; the first test holds what it held for no length (chunked, and now ended by a close) and for a length of 65,536. AnswerDeadlineTest is AnswerLifecycleTest, with all its rows.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -753,6 +753,11 @@
             channel.writeAndFlush(new DefaultHttpContent(chunk));
         }
 
+        @Override
+        public void flush() {
+            channel.flush();
+        }
+
         @Override
         public boolean isWritable() {
             return channel.isWritable();
--- a/src/main/java/cranedeal/node/NodeMetrics.java
+++ b/src/main/java/cranedeal/node/NodeMetrics.java
@@ -3,6 +3,7 @@
 import cranedeal.LoadBalancer;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Collection;
+import java.util.EnumSet;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -50,6 +51,10 @@
         UPSTREAMS, BROKEN_ANSWER, UNENDED_ANSWER, DEADLINE, DECISION_ERROR, HANDLER_ERROR, ENDING
     }
 
+    /** The states of an answer in which an attempt can time out. */
+    private static final Enum<?>[] ANSWER_STATES =
+            EnumSet.complementOf(EnumSet.of(AnswerLifecycle.State.OVER)).toArray(new Enum<?>[0]);
+
     /** The results of the requests of one service class. */
     private static final class ClassCounts {
         final AtomicLong success = new AtomicLong();
@@ -190,6 +195,11 @@
         increment(after);
     }
 
+    /** An attempt was ended because of its time, when its answer had come as far as the state says. */
+    void attemptTimedOut(AnswerLifecycle.State state) {
+        increment(state);
+    }
+
     /** A connection attempt to an upstream was started. */
     void connectionStarted() {
         connections.incrementAndGet();
@@ -245,6 +255,7 @@
         appendCauses(text, "retried_after_", LoadBalancer.Result.values());
         appendCauses(text, "refused_for_", RefusalReason.values());
         appendCauses(text, "failed_for_", FailureReason.values());
+        appendCauses(text, "timed_out_", ANSWER_STATES);
         appendCauses(text, "not_begun_", NotBegunReason.values());
         appendCauses(text, "closed_", CloseReason.values());
         appendCauses(text, "connect_failed_", ConnectFailure.values());
--- a/src/main/java/cranedeal/node/ResponseAggregator.java
+++ b/src/main/java/cranedeal/node/ResponseAggregator.java
@@ -3,6 +3,7 @@
 import cranedeal.node.memory.BodyBuffer;
 import cranedeal.node.memory.HoldLimit;
 import cranedeal.node.memory.PieceCollector;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -14,49 +15,69 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
 /**
- * Aggregates answers; one that is too large to be buffered, or for which memory is short, is streamed. So is
- * a slow one of unknown length, as the caller of a large answer should receive its start soon. A head alone
- * is no start: until a part of its body has come, an answer can still time out. The body of an answer that
- * reports no success is dropped, as nobody reads it.
+ * Holds an answer until it is whole, or until it is to be passed on, which its {@link Listener} decides; from
+ * then on it is streamed. So is one for which memory is short. The body of an answer that reports no success
+ * is dropped, as nobody reads it.
  */
 final class ResponseAggregator extends MessageToMessageDecoder<HttpObject> {
 
-    /** How long the start of an answer of unknown length is held, in ms. */
-    static final long MAX_HOLD_MS = 200;
+    /** Is told what arrives of an answer, and decides whether it is held. */
+    interface Listener {
+
+        /**
+         * The head has come.
+         *
+         * @param length length of the body in bytes; negative if it is not known
+         * @return true if it is to be passed on now
+         */
+        boolean headArrived(boolean successful, long length);
+
+        /** A part of the body has come; returns true if the answer is to be passed on now. */
+        boolean bodyArrived(int bytes);
+    }
+
+    /** Holds what no attempt waits for until it is whole. */
+    private static final Listener NO_ATTEMPT = new Listener() {
+        @Override
+        public boolean headArrived(boolean successful, long length) {
+            return false;
+        }
+
+        @Override
+        public boolean bodyArrived(int bytes) {
+            return false;
+        }
+    };
 
-    private final int maxBuffered;
     private final HoldLimit memory;
-    /** An answer that is not streamed: its head, its buffered body, and how much of it has arrived. */
+    private Listener listener = NO_ATTEMPT;
+    /** The head and the body of an answer that is held; null if none is. */
     private HttpResponse head;
     private BodyBuffer buffered;
-    private long received;
-    /** True if its length is not known, so that it can be streamed however short it turns out to be. */
-    private boolean lengthUnknown;
-    /** True if it is streamed from the first byte of its body. */
-    private boolean streamed;
     private ChannelHandlerContext context;
     /** The pieces of a streamed answer that the current read has brought; null if none is streamed. */
     private PieceCollector pieces;
-    private Future<?> holdTimer;
 
     /**
      * Creates an aggregator.
      *
-     * @param maxBuffered largest body in bytes that is buffered rather than streamed
-     * @param memory limits what is buffered; an answer that exceeds it is streamed
+     * @param memory limits what is held; an answer that exceeds it is streamed
      */
-    ResponseAggregator(int maxBuffered, HoldLimit memory) {
-        this.maxBuffered = maxBuffered;
+    ResponseAggregator(HoldLimit memory) {
         this.memory = memory;
     }
 
+    /** Sets who is told of the next answer; null if none is expected. */
+    void setListener(Listener newListener) {
+        listener = newListener == null ? NO_ATTEMPT : newListener;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, HttpObject part, List<Object> out) {
         if (part instanceof HttpResponse response) {
@@ -64,9 +85,10 @@
         }
         if (part instanceof HttpContent content) {
             if (pieces != null) {
-                passOn(content, out);
+                listener.bodyArrived(content.content().readableBytes());
+                stream(content, out);
             } else if (head != null) {
-                accumulate(ctx, content, out);
+                hold(content, out);
             }
         }
     }
@@ -80,64 +102,45 @@
             out.add(failed);
             return;
         }
-        long length = HttpUtil.getContentLength(response, -1L);
-        boolean successful = response.status().equals(HttpResponseStatus.OK);
-        if (length > maxBuffered && !successful) {
-            out.add(response);
-            pieces = newCollector(ctx);
-            return;
-        }
         head = response;
-        received = 0;
-        lengthUnknown = length < 0;
-        streamed = length > maxBuffered;
         buffered = new BodyBuffer(ctx.alloc(), memory);
-        if (length < 0) {
-            holdTimer = ctx.executor().schedule(this::endHold, MAX_HOLD_MS, TimeUnit.MILLISECONDS);
+        boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (!informational && listener.headArrived(isSuccessful(), HttpUtil.getContentLength(response, -1L))) {
+            passOn();
         }
     }
 
-    private void accumulate(ChannelHandlerContext ctx, HttpContent part, List<Object> out) {
-        received += part.content().readableBytes();
-        if (head.status().equals(HttpResponseStatus.OK) && !buffered.add(part.content())) {
-            startStreaming(ctx);
-            passOn(part, out);
-            return;
-        }
-        if (part instanceof LastHttpContent) {
+    private boolean isSuccessful() {
+        return head.status().equals(HttpResponseStatus.OK);
+    }
+
+    private void hold(HttpContent part, List<Object> out) {
+        boolean toPassOn = listener.bodyArrived(part.content().readableBytes());
+        if (isSuccessful() && !buffered.add(part.content())) {
+            passOn();
+            stream(part, out);
+        } else if (part instanceof LastHttpContent) {
             FullHttpResponse whole = new DefaultFullHttpResponse(head.protocolVersion(), head.status(),
                     buffered.take(), head.headers(), EmptyHttpHeaders.INSTANCE);
             whole.setDecoderResult(part.decoderResult());
             reset();
             out.add(whole);
-        } else if (received > (streamed ? 0 : maxBuffered)) {
-            startStreaming(ctx);
+        } else if (toPassOn) {
+            passOn();
         }
     }
 
-    private void endHold() {
-        streamed = true;
-        if (head.status().equals(HttpResponseStatus.OK)) {
-            streamIfBegun();
-        } else {
-            startStreaming(context);
-        }
-    }
-
-    /** Starts to stream a successful answer of unknown length of which something has arrived. */
-    void streamIfBegun() {
-        if (hasBegun()) {
-            startStreaming(context);
+    /** Passes on what is held, and from now on each part as it arrives. */
+    void passOn() {
+        if (head == null) {
+            return;
         }
-    }
-
-    /** Returns true if such an answer is still held, and soon comes whole or is streamed. */
-    boolean isHolding() {
-        return hasBegun() && !streamed;
-    }
-
-    private boolean hasBegun() {
-        return head != null && lengthUnknown && received > 0 && head.status().equals(HttpResponseStatus.OK);
+        HttpResponse streamedHead = head;
+        ByteBuf start = buffered.take();
+        reset();
+        pieces = newCollector(context);
+        context.fireChannelRead(streamedHead);
+        context.fireChannelRead(new DefaultHttpContent(start));
     }
 
     @Override
@@ -145,21 +148,7 @@
         context = ctx;
     }
 
-    /** Passes on what is buffered, and from now on each part as it arrives. */
-    private void startStreaming(ChannelHandlerContext ctx) {
-        if (head == null) {
-            return;
-        }
-        HttpResponse streamedHead = head;
-        BodyBuffer start = buffered;
-        buffered = null;
-        reset();
-        pieces = newCollector(ctx);
-        ctx.fireChannelRead(streamedHead);
-        ctx.fireChannelRead(new DefaultHttpContent(start.take()));
-    }
-
-    private void passOn(HttpContent part, List<Object> out) {
+    private void stream(HttpContent part, List<Object> out) {
         pieces.add(part.content());
         if (part instanceof LastHttpContent) {
             pieces.flush();
@@ -175,10 +164,6 @@
     }
 
     private void reset() {
-        if (holdTimer != null) {
-            holdTimer.cancel(false);
-            holdTimer = null;
-        }
         if (buffered != null) {
             buffered.release();
             buffered = null;
--- a/src/main/java/cranedeal/node/ResponseSink.java
+++ b/src/main/java/cranedeal/node/ResponseSink.java
@@ -8,5 +8,8 @@
     /** Writes a chunk and takes ownership of it. */
     void writeChunk(ByteBuf chunk);
 
+    /** Sends what was written so far; writing a chunk does so too. */
+    void flush();
+
     boolean isWritable();
 }
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -55,11 +55,11 @@
  */
 final class UpstreamClient {
 
-    static final int MAX_BUFFERED_BODY = AnswerDeadline.MAX_SHORT_BYTES;
+    static final int MAX_BUFFERED_BODY = AnswerLifecycle.MAX_SHORT_BYTES;
     private static final long SWEEP_INTERVAL_MS = 1_000;
     private static final double LOG_INTERVAL_MS = 10_000;
-    /** How long a streamed body or answer may make no progress before its attempt is ended. */
-    static final double STALL_TIMEOUT_MS = 10_000;
+    /** How long a streamed body may make no progress before its attempt is ended. */
+    static final double STALL_TIMEOUT_MS = AnswerLifecycle.STALL_TIMEOUT_MS;
     private static final int MILLI_SCALE = 3;
     /** Headers that concern only the caller's own connection and are not forwarded. */
     private static final List<String> HOP_BY_HOP = List.of("Connection", "Keep-Alive", "Proxy-Connection",
@@ -116,8 +116,8 @@
     private int listedCount;
     private final Map<Long, Target> targets = new HashMap<>();
     private final Set<Long> banned = new HashSet<>();
-    /** The attempts that stream a body or an answer. */
-    private final Set<Attempt> streaming = new HashSet<>();
+    /** The attempts that stream a body. */
+    private final Set<Attempt> uploading = new HashSet<>();
     private final IdleLimit idleLimit = new IdleLimit();
     /** Malformed responses since this count was last logged. */
     private int malformedResponses;
@@ -144,9 +144,10 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         ResponseDecoder decoder = new ResponseDecoder();
+                        ResponseAggregator aggregator = new ResponseAggregator(memory);
                         channel.pipeline().addLast(new HttpRequestEncoder(), decoder,
-                                new ResponseAggregator(MAX_BUFFERED_BODY, memory),
-                                new Connection(channel, decoder));
+                                aggregator,
+                                new Connection(channel, decoder, aggregator));
                     }
                 });
         settingsChanged(settings);
@@ -268,7 +269,7 @@
             Listener listener) {
         Attempt attempt = new Attempt(request, probe, timeoutAt, listener);
         attempt.start(targets.get(upstream));
-        attempt.scheduleTimeout();
+        attempt.scheduleCheck();
         return attempt;
     }
 
@@ -293,7 +294,7 @@
             malformedResponses = 0;
         }
         double stalledSince = clock.now() - STALL_TIMEOUT_MS;
-        List.copyOf(streaming).stream().filter(attempt -> attempt.isStalled(stalledSince))
+        List.copyOf(uploading).stream().filter(attempt -> attempt.isStalled(stalledSince))
                 .forEach(Attempt::endStalled);
         double oldestAllowed = clock.now() - idleLimit.maxIdleMs(clock.now());
         while (!idleConnections.isEmpty() && idleConnections.iterator().next().idleSince < oldestAllowed) {
@@ -334,7 +335,7 @@
     }
 
     /** One request sent to one upstream. */
-    final class Attempt implements Upload.Sink {
+    final class Attempt implements Upload.Sink, ResponseAggregator.Listener {
 
         private final FullHttpRequest request;
         private final boolean probe;
@@ -347,7 +348,9 @@
         private final double probeDeadline;
         /** For how many ms this process delayed it. */
         private double localDelay;
-        private Future<?> timeoutTimer;
+        /** The timer of the next check, and when it fires, in ms of the clock; infinity if there is none. */
+        private Future<?> checkTimer;
+        private double checkTimerAt = Double.POSITIVE_INFINITY;
         /** True if the sockets have been polled once more since the timeout. */
         private boolean polledAgain;
         private Target target;
@@ -365,8 +368,9 @@
         private double startedAt;
         private double endedAt = Double.NaN;
         private Result result;
-        /** The streamed answer, once it has started. */
-        private AnswerStream answer;
+        /** What is owed to its answer, and how that is passed on, once it is; null until then. */
+        private final AnswerLifecycle answer;
+        private AnswerStream stream;
         /** When data of a streamed body last moved. */
         private double lastProgressAt;
         /** Chunks of a streamed body that the kernel has not taken yet. */
@@ -379,11 +383,12 @@
             this.probeDeadline = probe ? timeoutAt : Double.POSITIVE_INFINITY;
             this.listener = listener;
             upload = request instanceof StreamedRequest large ? large.upload : null;
+            answer = new AnswerLifecycle(this::timeoutAt, this::deadline, listener.isUntimedOnceStarted());
         }
 
         /** The deadline of its request has changed. */
         void deadlineChanged() {
-            scheduleTimeout();
+            scheduleCheck();
         }
 
         /** Returns when it times out, in ms of the clock; infinity if it does not. */
@@ -395,20 +400,57 @@
             return Math.min(probeDeadline, listener.deadline());
         }
 
-        private void scheduleTimeout() {
-            cancelTimeout();
-            if (!ended && answer == null && timeoutAt() < Double.POSITIVE_INFINITY) {
-                timeoutTimer = loop.schedule(this::expire, clock.nanosUntil(timeoutAt()),
-                        TimeUnit.NANOSECONDS);
+        /** Schedules the next check of its answer; a timer that fires too early only schedules the next. */
+        private void scheduleCheck() {
+            double at = answer.checkAt();
+            if (at < checkTimerAt) {
+                cancelCheck();
+                checkTimerAt = at;
+                checkTimer = loop.schedule(this::check, clock.nanosUntil(at), TimeUnit.NANOSECONDS);
             }
         }
 
-        private void cancelTimeout() {
-            if (timeoutTimer != null) {
-                timeoutTimer.cancel(false);
+        private void cancelCheck() {
+            if (checkTimer != null) {
+                checkTimer.cancel(false);
             }
         }
 
+        /** A late loop runs its timers before it polls its sockets, so this first reads what has arrived. */
+        private void check() {
+            checkTimerAt = Double.POSITIVE_INFINITY;
+            if (clock.now() >= answer.checkAt() && fullyWritten && channel.config().isAutoRead()) {
+                Channels.readNow(channel);
+            }
+            switch (answer.check(clock.now())) {
+                case PASS_ON -> passOn();
+                case TIME_OUT -> timeOut();
+                default -> scheduleCheck();
+            }
+        }
+
+        private void passOn() {
+            channel.pipeline().get(ResponseAggregator.class).passOn();
+            if (stream != null) {
+                stream.flush();
+            }
+        }
+
+        @Override
+        public boolean headArrived(boolean successful, long length) {
+            boolean passOn = answer.headArrived(length, successful, clock.now())
+                    == AnswerLifecycle.Verdict.PASS_ON;
+            scheduleCheck();
+            return passOn;
+        }
+
+        @Override
+        public boolean bodyArrived(int bytes) {
+            boolean passOn = answer.bodyArrived(bytes, clock.now()) == AnswerLifecycle.Verdict.PASS_ON;
+            scheduleCheck();
+            return passOn;
+        }
+
         private void start(Target upstream) {
             startedAt = clock.now();
             target = upstream;
@@ -456,7 +498,7 @@
         private void extendTimeout(double ms) {
             localDelay += ms;
             ownTimeoutAt += ms;
-            scheduleTimeout();
+            scheduleCheck();
         }
 
         /** Returns by how many ms this process delayed the attempt before its request was written. */
@@ -520,7 +562,11 @@
             fullyWritten = write.isSuccess();
             if (!fullyWritten) {
                 connectionLost();
-            } else if (!probe) {
+                return;
+            }
+            answer.requestWritten(clock.now());
+            scheduleCheck();
+            if (!probe) {
                 metrics.attemptSent();
             }
         }
@@ -553,20 +599,20 @@
         private void recordProgress() {
             if (!ended) {
                 lastProgressAt = clock.now();
-                streaming.add(this);
+                uploading.add(this);
             }
         }
 
-        /** Returns true if this side has waited for the upstream since before the given time. */
+        /** Returns true if this side has waited for the upstream to take data since before the given time. */
         private boolean isStalled(double since) {
-            return answer != null ? answer.isStalled(since)
-                    : lastProgressAt < since && !fullyWritten && unwrittenChunks > 0;
+            return lastProgressAt < since && !fullyWritten && unwrittenChunks > 0;
         }
 
         /** Reads on, as the sink of the answer is writable again. */
         void resume() {
-            if (answer != null) {
-                answer.resume();
+            if (!ended && stream != null) {
+                stream.resume();
+                scheduleCheck();
             }
         }
 
@@ -577,11 +623,9 @@
             if (sink == null || ended) {
                 return false;
             }
-            cancelTimeout();
-            double dueAt = listener.isUntimedOnceStarted() ? Double.POSITIVE_INFINITY : deadline();
-            answer = new AnswerStream(loop, clock, channel, sink, new AnswerDeadline(length, dueAt),
-                    () -> closeAndEnd(Result.TIMEOUT));
-            streaming.add(this);
+            answer.passedOn(clock.now());
+            stream = new AnswerStream(clock, channel, sink, answer);
+            scheduleCheck();
             return true;
         }
 
@@ -590,49 +634,26 @@
             if (!ended && fullyWritten && !Double.isNaN(connectionIdleMs)) {
                 idleLimit.recordReset(target, connectionIdleMs, clock.now());
             }
-            closeAndEnd(fullyWritten || answer != null ? Result.RESET : Result.CONNECT_FAILED);
+            closeAndEnd(fullyWritten || stream != null ? Result.RESET : Result.CONNECT_FAILED);
         }
 
         /**
-         * Reads the answer if it has arrived. A loop that is late runs due timers before it polls its
-         * sockets, and must not charge its own lateness to the upstream.
+         * Ends the attempt because of its time. A late loop runs its timers before it polls its sockets, so
+         * this first polls once more for the connection, which may have been up for long.
          */
-        private void readAnswerNow() {
-            if (!ended && fullyWritten && answer == null) {
-                Channels.readNow(channel);
-            }
-        }
-
-        /**
-         * Ends the attempt because of its timeout, unless its answer has begun and is streamed. A loop that
-         * is late runs timers before it polls its sockets, so this first reads an answer that has arrived, or
-         * polls once more for the connection, which may have been up for long.
-         */
-        private void expire() {
-            readAnswerNow();
-            if (!ended && answer == null && fullyWritten) {
-                ResponseAggregator aggregator = channel.pipeline().get(ResponseAggregator.class);
-                if (aggregator.isHolding() && clock.now() < deadline()) {
-                    // What is held can still come whole, or be repeated if it breaks; it is passed on soon.
-                    ownTimeoutAt = deadline();
-                    scheduleTimeout();
-                    return;
-                }
-                aggregator.streamIfBegun();
-            }
-            if (ended || answer != null) {
-                return;
-            }
+        private void timeOut() {
             if (!fullyWritten && !polledAgain) {
                 polledAgain = true;
                 // A task passed to execute() would run before the sockets are polled.
-                timeoutTimer = loop.schedule(this::expire, 1, TimeUnit.NANOSECONDS);
+                checkTimerAt = Double.NEGATIVE_INFINITY;
+                checkTimer = loop.schedule(this::check, 1, TimeUnit.NANOSECONDS);
                 return;
             }
+            metrics.attemptTimedOut(answer.state());
             closeAndEnd(fullyWritten ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
 
-        /** Ends the attempt because this side has waited too long for the upstream to take or send more. */
+        /** Ends the attempt because this side has waited too long for the upstream to take more. */
         private void endStalled() {
             closeAndEnd(fullyWritten ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
@@ -648,7 +669,8 @@
                     + " start=" + Math.round(startedAt - since)
                     + (Double.isNaN(firstByteAt) ? "" : " first_byte=" + Math.round(firstByteAt - since))
                     + (Double.isNaN(connectionIdleMs) ? "" : " reused")
-                    + (fullyWritten ? " written" : "") + (answer == null ? "" : " streaming")
+                    + (fullyWritten ? " written" : "") + (stream == null ? "" : " streaming")
+                    + answer.describe(since)
                     + (ended ? " " + result + "=" + Math.round(endedAt - since) : " out");
         }
 
@@ -685,11 +707,9 @@
             endedAt = clock.now();
             result = endResult;
             neverRan = result.neverRan();
-            cancelTimeout();
-            streaming.remove(this);
-            if (answer != null) {
-                answer.end();
-            }
+            answer.end();
+            cancelCheck();
+            uploading.remove(this);
             if (upload != null) {
                 upload.detach(this);
             }
@@ -729,6 +749,7 @@
 
         final Channel channel;
         private final ResponseDecoder decoder;
+        private final ResponseAggregator aggregator;
         double idleSince = Double.NaN;
         private Attempt currentAttempt;
         private Target upstream;
@@ -737,14 +758,16 @@
         /** True if the connection broke rather than being closed in order. */
         private boolean broken;
 
-        Connection(Channel channel, ResponseDecoder decoder) {
+        Connection(Channel channel, ResponseDecoder decoder, ResponseAggregator aggregator) {
             this.channel = channel;
             this.decoder = decoder;
+            this.aggregator = aggregator;
         }
 
         void assign(Attempt attempt) {
             currentAttempt = attempt;
             decoder.setResponseExpected(true);
+            aggregator.setListener(attempt);
             upstream = attempt.target;
         }
 
@@ -752,6 +775,7 @@
         void returnToPool(Target target) {
             currentAttempt = null;
             decoder.setResponseExpected(false);
+            aggregator.setListener(null);
             upstream = target;
             channel.config().setAutoRead(true);
             channel.config().setWriteBufferWaterMark(WriteBufferWaterMark.DEFAULT);
@@ -813,7 +837,7 @@
                 return;
             }
             if (content.content().isReadable()) {
-                attempt.answer.writeChunk(content.content().retain());
+                attempt.stream.writeChunk(content.content().retain());
             }
             if (last && !isComplete(streamedHead)) {
                 attempt.connectionLost();
--- a/src/test/java/cranedeal/node/LateBodyTest.java
+++ b/src/test/java/cranedeal/node/LateBodyTest.java
@@ -44,12 +44,18 @@
 
     /** Guards against cutting off an answer whose head came in time, while its upstream still gives it. */
     @ParameterizedTest
-    @CsvSource({"LENGTH, 1000", "CHUNKED, 1000", "CLOSE, 1000", "LENGTH, 3200"})
+    @CsvSource({"LENGTH, 1600, 6", "LENGTH, 3200, 6", "CHUNKED, 1600, 6", "CLOSE, 1600, 6",
+        "LENGTH, 1000, 1", "LENGTH, 3200, 1"})
     void aLongAnswerWhoseBodyComesLongAfterItsHeadReachesItsCallerWhole(AnswerPlan.Framing framing,
-            int bodyAfterMs) throws Exception {
-        AnswerPlan plan = AnswerPlan.steady(framing, BYTES, bodyAfterMs, PIECE_BYTES, PIECE_EVERY_MS);
-        try (NodeFixture fixture = new NodeFixture(UPSTREAMS); NodeProcess node = new NodeProcess(fixture)) {
-            PlannedUpstream upstream = new PlannedUpstream(id -> plan, 0);
+            int bodyAfterMs, int oneLateIn) throws Exception {
+        AnswerPlan late = AnswerPlan.steady(framing, BYTES, bodyAfterMs, PIECE_BYTES, PIECE_EVERY_MS);
+        AnswerPlan prompt = AnswerPlan.steady(framing, BYTES, 0, PIECE_BYTES, PIECE_EVERY_MS);
+        NodeFixture fixture = new NodeFixture(UPSTREAMS);
+        // So that attempts have a time of their own, after which the next one is sent.
+        fixture.parallelAttempts = false;
+        try (fixture; NodeProcess node = new NodeProcess(fixture)) {
+            PlannedUpstream upstream = new PlannedUpstream(
+                    id -> Integer.parseInt(id.substring(1)) % oneLateIn == 0 ? late : prompt, 0);
             fixture.upstreams.forEach(server -> server.serveEach(upstream::serve));
             HttpPeer.connectWhenServing(node.address, node.process).close();
             List<Callable<String>> plays = new ArrayList<>();
--- a/src/test/java/cranedeal/node/NodeFixture.java
+++ b/src/test/java/cranedeal/node/NodeFixture.java
@@ -27,6 +27,8 @@
     int drainGrace = 2_000;
     /** For how many ms upstreams drop repeats of a deduplicated request. */
     int dedupWindowMs = 4_000;
+    /** True if a request may have two attempts at once. */
+    boolean parallelAttempts = true;
     /** True if discovery sends lists without being asked. */
     boolean pushLists;
     /** True if the node has an admin endpoint. */
@@ -99,7 +101,7 @@
                   "idempotency":"deduplicated","group":"cell","memorySpan":%d.0,"streamed":false},
                  {"name":"credit-spend","aim":1500.0,"deadline":2500.0,"worth":2.0,"lateValue":0.3,
                   "idempotency":"at_most_once","streamed":false}],
-                 "limits":{"attemptsCap":4,"maxOpen":20000,"cancel":true,"parallelTries":true,"probes":true,
+                 "limits":{"attemptsCap":4,"maxOpen":20000,"cancel":true,"parallelTries":%b,"probes":true,
                   "peers":false,"retryAfter":true,"maxRetryAfter":2000.0,"connectTimeout":%d,
                   "connIdle":30000.0,"streamsPerConn":1},
                  "rules":{"graceToAnswer":20.0,"drainGrace":%d,"askEvery":1000.0,"startCapacity":0.13,
@@ -110,7 +112,7 @@
                 """.formatted(adminEnabled ? "\"admin_addr\":\"127.0.0.1:0\"," : "",
                         stateDir == null ? "" : "\"state_dir\":\"" + stateDir + "\",", discovery.address(),
                         sockets, listJson(41, true, entries), pushLists ? "automatic" : "subscribe",
-                        dedupWindowMs, connectTimeout, drainGrace);
+                        dedupWindowMs, parallelAttempts, connectTimeout, drainGrace);
     }
 
     /** Opens a caller's connection to the node. */
--- a/src/test/java/cranedeal/node/NodeMetricsTest.java
+++ b/src/test/java/cranedeal/node/NodeMetricsTest.java
@@ -47,7 +47,7 @@
                 "failed_for_unended_answer"}) {
                 assertEquals(0, metrics.get("edge_proxy." + name), name);
             }
-            assertEquals(87, metrics.size());
+            assertEquals(92, metrics.size());
         }
     }
 
--- a/src/test/java/cranedeal/node/StreamedBodyTest.java
+++ b/src/test/java/cranedeal/node/StreamedBodyTest.java
@@ -25,6 +25,8 @@
     private static final int HALF = BODY.length() / 2;
     /** The start of a large answer, which a socket takes in one write. */
     private static final int LARGE_START_BYTES = 1_000;
+    /** An answer half a second after its time only earns nothing, and sockets add 50 ms. */
+    private static final int GRACE_MS = 550;
     /** So little that an answer of 60 kB is not held. */
     private static final int LITTLE_MEMORY_BYTES = 64 << 10;
 
@@ -379,19 +381,40 @@
 
     /** Guards against a head that stops the clock although its body never comes. */
     @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void anAnswerThatIsAHeadAndThenNothingTimesOut(boolean chunked) throws Exception {
+    @ValueSource(strings = {"Transfer-Encoding: chunked", "Connection: close", "Content-Length: 65536"})
+    void anAnswerThatIsAHeadAndThenNothingTimesOut(String framing) throws Exception {
         try (NodeFixture fixture = new NodeFixture().start()) {
             HttpPeer caller = fixture.caller();
             caller.write(NodeFixture.get("1", "1"));
             HttpPeer upstream = fixture.upstreams.get(0).accept();
             upstream.read();
-            upstream.write(okHead(chunked));
+            upstream.write("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
             assertEquals(502, caller.read().status());
             assertEquals(Result.TIMEOUT, fixture.balancer.nextResult());
         }
     }
 
+    /** Guards against holding back, or cutting off, a long answer of which only the head has come. */
+    @Test
+    void theHeadOfALongAnswerReachesItsCallerInItsTimeAndEndsIfNothingFollows() throws Exception {
+        try (NodeFixture fixture = new NodeFixture().start()) {
+            HttpPeer caller = fixture.caller();
+            caller.write(NodeFixture.get("1", "0.5"));
+            long writtenAt = System.nanoTime();
+            HttpPeer upstream = fixture.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(okHead(false));
+            assertTrue(readHead(caller).contains("\r\nContent-Length: " + BODY.length() + "\r\n"));
+            assertTrue(msSince(writtenAt) <= 500 + GRACE_MS, "its head came after its time");
+            assertTrue(caller.awaitClose());
+            assertTrue(msSince(writtenAt) >= UpstreamClient.STALL_TIMEOUT_MS, "it had no time to go on");
+            assertEquals(Result.TIMEOUT, fixture.balancer.nextResult());
+            String stats = fixture.node.stats();
+            assertTrue(stats.contains("edge_proxy.failed_for_unended_answer=1\n"), stats);
+            assertTrue(stats.contains("edge_proxy.timed_out_long=1\n"), stats);
+        }
+    }
+
     /** Guards against an answer that a second attempt keeps from its end, and one that nothing names. */
     @Test
     void anUnendedAnswerEndsWithASecondAttemptOutAndIsNamed() throws Exception {
@@ -437,7 +460,7 @@
             upstream.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n");
             readHead(caller);
             long heldMs = msSince(writtenAt);
-            assertTrue(heldMs >= ResponseAggregator.MAX_HOLD_MS, "it was held for " + heldMs + " ms");
+            assertTrue(heldMs >= AnswerLifecycle.MAX_HOLD_MS, "it was held for " + heldMs + " ms");
             upstream.write("3\r\nend\r\n0\r\n\r\n");
             assertEquals("begunend", readChunkedBody(caller));
         }
--- a/src/test/java/cranedeal/node/UnendedAnswerTest.java
+++ b/src/test/java/cranedeal/node/UnendedAnswerTest.java
@@ -101,7 +101,7 @@
                 ? "Transfer-Encoding: chunked" : "Connection: close") + "\r\n\r\n");
         switch (body) {
             case START -> write(connection, framing, 5);
-            case NEARLY_LONG -> write(connection, framing, AnswerDeadline.MAX_SHORT_BYTES - 100);
+            case NEARLY_LONG -> write(connection, framing, AnswerLifecycle.MAX_SHORT_BYTES - 100);
             case DRIP -> {
                 for (int i = 0; i < DRIPS; i++) {
                     write(connection, framing, 1);
