Judge an answer without a length by the pace of its whole life

Cause: only what came in the last 300 ms was a pace. Between two pieces that is nothing, and what had come before the deadline didn't count.

Change: AnswerPace keeps the pace over the life of the answer, but for its first piece and for time in which the caller reads nothing. It is believed up to twice the pace of the last two pieces, so that a burst before a drip says nothing, and for a silence of up to twice the longest gap between pieces, so that a burst alone says nothing. The watch of 300 ms stays beside it; either is enough to go on. By 2.3 s after its time an answer is over 64 KiB or it ends, as before.

AnswerLifecycleSoakTest draws 60,000 answers in virtual time (framing, size, head, first byte, pieces, stalls, bursts, drips, ends, times) and counts both errors. With a length, and for bursts and drips, none may be cut though it comes whole and none late.

--- a/src/main/java/cranedeal/node/AnswerLifecycle.java
+++ b/src/main/java/cranedeal/node/AnswerLifecycle.java
@@ -9,8 +9,8 @@
  *
  * <p>An answer of up to {@link #MAX_SHORT_BYTES} is due whole at the deadline of its request; of a longer one
  * only the start is, and then it may go on for as long as its upstream gives it. Where the length is not
- * known, an answer counts as long once it is over that size, or while it still comes fast enough, after the
- * deadline, to be over it soon. A successful answer that is or may be long is never ended because of its
+ * known, an answer counts as long once it is over that size, or while it still comes fast enough after the
+ * deadline, by the pace since then or over its whole life, to be over it soon. A successful answer that is or may be long is never ended because of its
  * attempt's timeout, only because of its request's deadline. One that reports no success is not passed on:
  * its head tells the result.
  *
@@ -111,8 +111,10 @@
     /** What has come since the start of the current watch, and when that was. */
     private long receivedInWatch;
     private double watchStart;
-    /** For how many ms the caller has read nothing since the deadline, and since when it does not. */
+    private final AnswerPace pace = new AnswerPace();
+    /** For how many ms the caller has read nothing, for how many since the deadline, and since when now. */
     private double pausedMs;
+    private double pausedMsSinceDue;
     private double pausedSince;
 
     /**
@@ -165,6 +167,7 @@
         }
         received += bytes;
         lastProgressAt = now;
+        pace.arrived(bytes, now - pausedMs);
         if (isPassedOn()) {
             receivedInWatch += now > watchStart ? bytes : 0;
             state = isLong() ? State.LONG : state;
@@ -193,7 +196,7 @@
     void callerPaused(double now) {
         if (!callerPaused) {
             callerPaused = true;
-            pausedSince = Math.max(now, dueAt);
+            pausedSince = now;
         }
     }
 
@@ -204,7 +207,8 @@
         }
         callerPaused = false;
         lastProgressAt = now;
-        pausedMs += Math.max(0, now - pausedSince);
+        pausedMs += now - pausedSince;
+        pausedMsSinceDue += Math.max(0, now - Math.max(pausedSince, dueAt));
         startWatch(Math.max(now, dueAt));
     }
 
@@ -276,9 +280,10 @@
     }
 
     private boolean comesFastEnough(double now) {
-        double proofDue = dueAt + JUDGE_MS + PROJECTION_MS + pausedMs;
-        double pace = receivedInWatch / (now - watchStart);
-        return now < proofDue && received + pace * PROJECTION_MS > MAX_SHORT_BYTES;
+        double proofDue = dueAt + JUDGE_MS + PROJECTION_MS + pausedMsSinceDue;
+        double paceInWatch = receivedInWatch / (now - watchStart);
+        double expectedPace = Math.max(paceInWatch, pace.expected(now - pausedMs));
+        return now < proofDue && received + expectedPace * PROJECTION_MS > MAX_SHORT_BYTES;
     }
 
     /** Describes it for the log, with times in ms since a given one. */
