Let two tests of slow answers share their upstreams and the reading of answers

Cause: SlowAnswerTest and UnendedAnswerTest each had code of its own to give an answer in pieces and to read one in any framing, which AnswerPlan, PlannedUpstream and ReceivedAnswer do now.

Change: both use these; what is drawn, the bounds and the checks are the same.

--- a/src/test/java/cranedeal/node/ReceivedAnswer.java
+++ b/src/test/java/cranedeal/node/ReceivedAnswer.java
@@ -14,10 +14,12 @@
  * @param bytes how much of the body came
  * @param whole true if it looks complete
  * @param silent true if the caller gave up within the body
+ * @param last true if the connection ends with it
  * @param firstMs when its first line came, in ms from when the request was written
  * @param lastMs when it ended
  */
-record ReceivedAnswer(int status, long bytes, boolean whole, boolean silent, long firstMs, long lastMs) {
+record ReceivedAnswer(int status, long bytes, boolean whole, boolean silent, boolean last, long firstMs,
+        long lastMs) {
 
     private static final int READ_BYTES = 4_350;
 
@@ -28,17 +30,27 @@
      * @param pauseMs pause between two reads of the body
      */
     static ReceivedAnswer read(HttpPeer caller, long sentAt, int pauseMs) {
+        return read(caller, sentAt, pauseMs, () -> { });
+    }
+
+    /** The same, with something to run once the head of the answer has come. */
+    static ReceivedAnswer read(HttpPeer caller, long sentAt, int pauseMs, Runnable onHead) {
         Body body = new Body(caller, pauseMs);
         int status = 0;
         long firstMs = 0;
         boolean whole = false;
         boolean silent = false;
+        boolean last = true;
         try {
             String line = caller.readLine();
             firstMs = msSince(sentAt);
             if (line != null) {
                 status = Integer.parseInt(line.split(" ")[1]);
-                body.read(caller.readHeaders());
+                Map<String, String> headers = caller.readHeaders();
+                onHead.run();
+                last = "close".equalsIgnoreCase(headers.get("connection"))
+                        || !headers.containsKey("content-length") && !headers.containsKey("transfer-encoding");
+                body.read(headers);
                 whole = true;
             }
         } catch (SocketTimeoutException e) {
@@ -47,7 +59,7 @@
         } catch (IOException | NumberFormatException | InterruptedException e) {
             // It broke off.
         }
-        return new ReceivedAnswer(status, body.received, whole, silent, firstMs, msSince(sentAt));
+        return new ReceivedAnswer(status, body.received, whole, silent, last, firstMs, msSince(sentAt));
     }
 
     private static long msSince(long nanos) {
--- a/src/test/java/cranedeal/node/UnendedAnswerTest.java
+++ b/src/test/java/cranedeal/node/UnendedAnswerTest.java
@@ -3,11 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cranedeal.node.AnswerPlan.Framing;
+import cranedeal.node.AnswerPlan.Piece;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -40,7 +42,7 @@
     /** Others may be refused, as slow answers look like overload. */
     private static final double MIN_WHOLE = 0.5;
 
-    private enum Framing { CHUNKED, CLOSE }
+    private static final Framing[] FRAMINGS = {Framing.CHUNKED, Framing.CLOSE};
 
     /** What an upstream gives behind the head. */
     private enum Body {
@@ -51,16 +53,36 @@
         /** A byte now and then. */
         DRIP,
         /** A long answer at the slowest pace, which ends. */
-        LONG
+        LONG;
+
+        /** The answer as the upstream gives it. */
+        AnswerPlan plan(Framing framing) {
+            return switch (this) {
+                case START -> unended(framing, List.of(new Piece(0, 5)));
+                case NEARLY_LONG -> unended(framing, List.of(new Piece(0, AnswerPlan.SHORT_BYTES - 100)));
+                case DRIP -> unended(framing, drips());
+                case LONG -> AnswerPlan.steady(framing, LONG_BYTES, 0, PIECE_BYTES, PIECE_EVERY_MS);
+            };
+        }
+
+        private static List<Piece> drips() {
+            List<Piece> pieces = new ArrayList<>(Collections.nCopies(DRIPS, new Piece(DRIP_EVERY_MS, 1)));
+            pieces.set(0, new Piece(0, 1));
+            return pieces;
+        }
+
+        private static AnswerPlan unended(Framing framing, List<Piece> pieces) {
+            return new AnswerPlan(framing, 0, 0, pieces, AnswerPlan.End.SILENCE);
+        }
     }
 
     /** A request of a caller, which tells the upstream in its id how to answer. */
     private record Play(int number, Framing framing, Body body, int timeMs, boolean http10) {
 
         static Play of(int number) {
-            int shapes = Framing.values().length * Body.values().length;
-            return new Play(number, Framing.values()[number % Framing.values().length],
-                    Body.values()[number / Framing.values().length % Body.values().length],
+            int shapes = FRAMINGS.length * Body.values().length;
+            return new Play(number, FRAMINGS[number % FRAMINGS.length],
+                    Body.values()[number / FRAMINGS.length % Body.values().length],
                     TIMES_MS[number / shapes % TIMES_MS.length],
                     number / (shapes * TIMES_MS.length) % 2 == 1);
         }
@@ -79,94 +101,24 @@
     /** Callers that have the start of an answer that does not end. */
     private final AtomicInteger unended = new AtomicInteger();
 
-    /** Answers as the ids ask for, until the connection ends. */
-    private static void serve(HttpPeer connection) {
-        try (connection) {
-            while (true) {
-                String[] id = connection.readHead().get("x-txn").split("-");
-                Framing framing = Framing.valueOf(id[1]);
-                answer(connection, framing, Body.valueOf(id[2]));
-                if (framing == Framing.CLOSE) {
-                    return;
-                }
-            }
-        } catch (IOException | NullPointerException | InterruptedException e) {
-            // The connection has ended.
-        }
-    }
-
-    private static void answer(HttpPeer connection, Framing framing, Body body)
-            throws IOException, InterruptedException {
-        connection.write("HTTP/1.1 200 OK\r\n" + (framing == Framing.CHUNKED
-                ? "Transfer-Encoding: chunked" : "Connection: close") + "\r\n\r\n");
-        switch (body) {
-            case START -> write(connection, framing, 5);
-            case NEARLY_LONG -> write(connection, framing, AnswerLifecycle.MAX_SHORT_BYTES - 100);
-            case DRIP -> {
-                for (int i = 0; i < DRIPS; i++) {
-                    write(connection, framing, 1);
-                    Thread.sleep(DRIP_EVERY_MS);
-                }
-            }
-            case LONG -> {
-                for (int left = LONG_BYTES; left > 0; left -= PIECE_BYTES) {
-                    write(connection, framing, Math.min(left, PIECE_BYTES));
-                    Thread.sleep(PIECE_EVERY_MS);
-                }
-            }
-        }
-        if (body != Body.LONG) {
-            // Until the balancer closes the connection.
-            connection.awaitClose();
-        } else if (framing == Framing.CHUNKED) {
-            connection.write("0\r\n\r\n");
-        }
-    }
-
-    private static void write(HttpPeer connection, Framing framing, int bytes) throws IOException {
-        String piece = "x".repeat(bytes);
-        connection.write(framing == Framing.CHUNKED ? Integer.toHexString(bytes) + "\r\n" + piece + "\r\n"
-                : piece);
-    }
+    /** The upstreams, which answer as the ids ask for. */
+    private final PlannedUpstream upstream = new PlannedUpstream(id -> {
+        String[] parts = id.split("-");
+        return Body.valueOf(parts[2]).plan(Framing.valueOf(parts[1]));
+    }, 0);
 
     /** Returns null if the final answer comes in its time, and a long one whole, or else what happened. */
     private String wrong(NodeProcess node, Play play) throws IOException {
         try (HttpPeer caller = HttpPeer.connect(node.address)) {
             caller.write(play.request());
-            long writtenAt = System.nanoTime();
-            String status = caller.readLine();
-            caller.readHeaders();
-            unended.addAndGet(play.body() == Body.LONG ? 0 : 1);
-            long bytes = status != null && status.contains(" 200 ") ? readBody(caller, play.http10()) : 0;
-            long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - writtenAt);
-            longWhole.addAndGet(play.body() == Body.LONG && bytes == LONG_BYTES ? 1 : 0);
-            boolean refused = status != null && status.contains(" 503 ");
-            boolean tooLate = took > play.timeMs() + GRACE_MS;
-            boolean takenForWhole = status != null && status.contains(" 200 ") && bytes >= 0;
-            boolean held = refused || (play.body() == Body.LONG ? bytes == LONG_BYTES
-                    : !tooLate && !takenForWhole);
-            return held ? null : play + ": " + status + ", " + bytes + " bytes after " + took + " ms";
-        }
-    }
-
-    /** Reads a body of unknown length; returns its bytes, or -1 if it broke off. */
-    private static long readBody(HttpPeer caller, boolean http10) {
-        try {
-            InputStream in = caller.socket.getInputStream();
-            if (http10) {
-                return in.readAllBytes().length;
-            }
-            long received = 0;
-            while (true) {
-                int size = Integer.parseInt(caller.readLine(), 16);
-                received += in.readNBytes(size).length;
-                caller.readLine();
-                if (size == 0) {
-                    return received;
-                }
-            }
-        } catch (IOException | NumberFormatException e) {
-            return -1;
+            ReceivedAnswer answer = ReceivedAnswer.read(caller, System.nanoTime(), 0,
+                    () -> unended.addAndGet(play.body() == Body.LONG ? 0 : 1));
+            boolean whole = answer.status() == 200 && answer.whole();
+            longWhole.addAndGet(play.body() == Body.LONG && whole && answer.bytes() == LONG_BYTES ? 1 : 0);
+            boolean tooLate = answer.lastMs() > play.timeMs() + GRACE_MS;
+            boolean held = answer.status() == 503 || (play.body() == Body.LONG
+                    ? whole && answer.bytes() == LONG_BYTES : !tooLate && !whole);
+            return held ? null : play + ": " + answer;
         }
     }
 
@@ -174,7 +126,7 @@
     @Test
     void anAnswerThatBeginsAndDoesNotEndIsEndedInItsTimeAndALongOneComesWhole() throws Exception {
         try (NodeFixture fixture = new NodeFixture(UPSTREAMS); NodeProcess node = new NodeProcess(fixture)) {
-            fixture.upstreams.forEach(upstream -> upstream.serveEach(UnendedAnswerTest::serve));
+            fixture.upstreams.forEach(server -> server.serveEach(upstream::serve));
             HttpPeer.connectWhenServing(node.address, node.process).close();
             List<Callable<String>> plays = new ArrayList<>();
             int longAnswers = 0;
@@ -197,11 +149,11 @@
         NodeFixture fixture = new NodeFixture(UPSTREAMS);
         fixture.adminEnabled = true;
         try (fixture; NodeProcess first = start(fixture, shared, NodeProcess.freeAddress())) {
-            fixture.upstreams.forEach(upstream -> upstream.serveEach(UnendedAnswerTest::serve));
+            fixture.upstreams.forEach(server -> server.serveEach(upstream::serve));
             HttpPeer.connectWhenServing(first.address, first.process).close();
             List<Callable<String>> plays = new ArrayList<>();
             for (Body body : new Body[] {Body.START, Body.DRIP}) {
-                for (Framing framing : Framing.values()) {
+                for (Framing framing : FRAMINGS) {
                     Play play = new Play(plays.size(), framing, body, TIMES_MS[1], false);
                     plays.add(() -> wrong(first, play));
                 }
