Take the signals and the callers' threads of a soak out of LossSoakTest

Cause: a second soak needs the same processes, reloads, upgrades, ends, crowds and threads of callers.

Change: SoakSignals plays the signals, CallerThreads runs callers; LossSoakTest uses both.

--- a/src/test/java/cranedeal/node/LossSoakTest.java
+++ b/src/test/java/cranedeal/node/LossSoakTest.java
@@ -28,18 +28,6 @@
     private static final long SEED = Long.getLong("seed", 1);
     private static final long SEEDS = Long.getLong("seeds", 2);
     private static final int CALLERS = 16;
-    private static final int CROWD = 300;
-    /** One play in so many has a crowd of idle connections. */
-    private static final int CROWD_EVERY = 3;
-    private static final int RELOADS = 3;
-    private static final int RELOAD_EVERY_MS = 400;
-    private static final int BEFORE_SIGTERM_MS = 2_000;
-    /** New connections come for so long after SIGTERM where no other process takes them. */
-    private static final int LATE_CONNECTIONS_MS = 200;
-    /** The longest deadline of the fixture's settings and 0.7 s. */
-    private static final int KILL_AFTER_MS = 3_200;
-    /** An upgraded balancer is used for some time after the kill. */
-    private static final int AFTER_KILL_MS = 1_500;
     private static final int CONNECT_TIMEOUT_MS = 250;
     private static final int BEGIN_GRACE_MS = 100;
     private static final long MAX_MEMORY_KB = 192 << 10;
@@ -59,8 +47,6 @@
 
     private static void play(long seed, Path shared) throws Exception {
         Random random = new Random(seed);
-        boolean upgrade = seed % 2 == 0;
-        boolean crowd = seed % CROWD_EVERY == 0;
         List<AutoCloseable> opened = new ArrayList<>();
         List<SmallSegmentServer> servers = new ArrayList<>();
         NodeFixture fixture = new NodeFixture(0);
@@ -77,50 +63,19 @@
             FullBacklog silent = new FullBacklog();
             opened.add(silent);
             fixture.furtherUpstreams.add(silent.address());
-            NodeProcess first = start(fixture, shared, null);
-            opened.add(first);
-            HttpPeer.connectWhenServing(first.address, first.process).close();
-            SoakCallers callers = new SoakCallers(first.address, seed, CALLERS);
+            SoakSignals signals = new SoakSignals(fixture, shared, seed);
+            opened.add(signals);
+            SoakCallers callers = new SoakCallers(signals.address(), seed, CALLERS);
             opened.add(callers);
-            for (int i = 0; crowd && i < CROWD; i++) {
-                opened.add(HttpPeer.connect(first.address));
-            }
-            Thread.sleep(BEFORE_SIGTERM_MS);
-            for (int i = 0; i < RELOADS; i++) {
-                first.signal("HUP");
-                Thread.sleep(random.nextInt(RELOAD_EVERY_MS));
-            }
-            NodeProcess second = upgrade ? start(fixture, shared, first) : null;
-            if (upgrade) {
-                opened.add(second);
-                second.awaitReady();
-            }
-            String delays = first.stats().lines().filter(line -> line.contains("loop_busy_longest"))
-                    .findFirst().orElseThrow();
-            long firstMemoryKb = first.peakMemoryKb();
-            long signalledAt = System.nanoTime();
-            first.signal("TERM");
-            if (!upgrade) {
-                Thread.sleep(LATE_CONNECTIONS_MS);
-                callers.openNoMore();
-            }
-            while (first.process.isAlive() && msSince(signalledAt) < KILL_AFTER_MS) {
-                Thread.sleep(1);
-            }
-            first.process.destroyForcibly().waitFor();
-            Thread.sleep(upgrade ? AFTER_KILL_MS : 0);
-            long memoryKb = upgrade ? firstMemoryKb + second.peakMemoryKb() : firstMemoryKb;
+            signals.play(random, callers::openNoMore);
             List<SoakCallers.Call> calls = callers.end();
-            List<String> wrong = judge(calls, servers, crowd);
-            String context = "seed " + seed + " " + delays + "\n" + String.join("\n", first.log())
-                    + (upgrade ? "\nsecond\n" + String.join("\n", second.log()) : "");
+            List<String> wrong = judge(calls, servers, signals.crowd);
             long served = calls.stream().filter(call -> call.end().equals("200")).count();
-            System.out.println("seed " + seed + (upgrade ? " upgrade" : " end") + (crowd ? " crowd" : "")
-                    + ": " + calls.size() + " calls, " + served + " served, " + wrong.size()
-                    + " wrong, " + memoryKb + " KB");
-            assertEquals(List.of(), wrong, context);
-            assertTrue(served >= MIN_SERVED_SHARE * calls.size(), context);
-            assertTrue(memoryKb <= MAX_MEMORY_KB, memoryKb + " KB at most");
+            System.out.println(signals.name() + ": " + calls.size() + " calls, " + served + " served, "
+                    + wrong.size() + " wrong, " + signals.memoryKb() + " KB");
+            assertEquals(List.of(), wrong, signals::context);
+            assertTrue(served >= MIN_SERVED_SHARE * calls.size(), signals::context);
+            assertTrue(signals.memoryKb() <= MAX_MEMORY_KB, signals.memoryKb() + " KB at most");
         } finally {
             for (int i = opened.size() - 1; i >= 0; i--) {
                 opened.get(i).close();
@@ -128,11 +83,6 @@
         }
     }
 
-    private static NodeProcess start(NodeFixture fixture, Path shared, NodeProcess before) throws Exception {
-        return new NodeProcess(fixture, fixture.discovery.address(), MemorySoakTest.JVM_OPTIONS, Main.class,
-                shared, before == null ? NodeProcess.freeAddress() : before.address);
-    }
-
     private static List<SmallSegmentServer.Reading> drawReadings(Random random) {
         List<SmallSegmentServer.Reading> readings = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
@@ -145,7 +95,7 @@
         return readings;
     }
 
-    private static void tellNothingNew(HttpPeer connection) {
+    static void tellNothingNew(HttpPeer connection) {
         try (connection) {
             while (connection.read() != null) {
                 Thread.sleep(1_000);
@@ -156,10 +106,6 @@
         }
     }
 
-    private static long msSince(long nanos) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
-    }
-
     /** Returns what broke a rule. */
     private static List<String> judge(List<SoakCallers.Call> calls, List<SmallSegmentServer> servers,
             boolean crowd) {
--- a/src/test/java/cranedeal/node/SoakCallers.java
+++ b/src/test/java/cranedeal/node/SoakCallers.java
@@ -3,16 +3,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Queue;
 import java.util.Random;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Callers of drawn kinds, each on a thread of its own, until they are ended. */
-final class SoakCallers implements AutoCloseable {
+final class SoakCallers extends CallerThreads<SoakCallers.Call> {
 
     /**
      * What became of a request.
@@ -52,44 +48,20 @@
     private static final int PAUSE_MS = 40;
 
     private final InetSocketAddress address;
-    private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
-    private final List<Thread> threads = new ArrayList<>();
     private final AtomicInteger lastId = new AtomicInteger();
-    private volatile boolean ended;
-    private volatile boolean openNoMore;
 
     SoakCallers(InetSocketAddress address, long seed, int count) {
         this.address = address;
-        for (int i = 0; i < count; i++) {
-            Random random = new Random(seed * count + i);
-            Thread thread = new Thread(() -> callUntilEnded(random));
-            thread.setDaemon(true);
-            thread.start();
-            threads.add(thread);
-        }
-    }
-
-    /** Opens no more connections, and uses those that are open until they end. */
-    void openNoMore() {
-        openNoMore = true;
-    }
-
-    /** Ends the callers once their requests have ended, and returns what became of all requests. */
-    List<Call> end() throws InterruptedException {
-        ended = true;
-        for (Thread thread : threads) {
-            thread.join();
-        }
-        return List.copyOf(calls);
+        start(count, number -> callUntilEnded(new Random(seed * count + number)));
     }
 
     private void callUntilEnded(Random random) {
         HttpPeer kept = null;
         boolean used = false;
         try {
-            while (!ended) {
+            while (!hasEnded()) {
                 Thread.sleep(random.nextInt(PAUSE_MS));
-                if (kept == null && openNoMore) {
+                if (kept == null && opensNoMore()) {
                     return;
                 }
                 try {
@@ -112,16 +84,6 @@
         }
     }
 
-    private static void close(HttpPeer peer) {
-        try {
-            if (peer != null) {
-                peer.close();
-            }
-        } catch (IOException e) {
-            // It has ended anyway.
-        }
-    }
-
     /** Sends a request of a drawn kind; returns "kept" if its connection can be used further. */
     private String call(HttpPeer peer, Random random, boolean isNew) throws InterruptedException {
         String id = "r" + lastId.incrementAndGet();
@@ -136,7 +98,7 @@
             return exchange(peer, id, "slow", SLOW_BYTES, true, isNew);
         }
         leave(peer, id, bytes, stayMs, isNew);
-        if (kind == 9 && !openNoMore) {
+        if (kind == 9 && !opensNoMore()) {
             try (HttpPeer again = HttpPeer.connect(address)) {
                 exchange(again, id, "again", bytes, false, true);
             } catch (IOException e) {
@@ -165,7 +127,7 @@
         writer.start();
         Thread.sleep(stayMs);
         close(peer);
-        calls.add(new Call(id, "leaves " + bytes, "left", TIME_MS, sentAt, System.nanoTime(), isNew));
+        add(new Call(id, "leaves " + bytes, "left", TIME_MS, sentAt, System.nanoTime(), isNew));
     }
 
     private String exchange(HttpPeer peer, String id, String kind, int bytes, boolean slowly, boolean isNew)
@@ -190,7 +152,7 @@
         } catch (IOException e) {
             end = "closed";
         }
-        calls.add(new Call(id, kind + " " + bytes, end, TIME_MS, sentAt, System.nanoTime(), isNew));
+        add(new Call(id, kind + " " + bytes, end, TIME_MS, sentAt, System.nanoTime(), isNew));
         return next;
     }
 
@@ -206,9 +168,4 @@
             Thread.sleep(SLOW_EVERY_MS);
         }
     }
-
-    @Override
-    public void close() {
-        ended = true;
-    }
 }
