--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -368,8 +368,8 @@
         private double startedAt;
         private double endedAt = Double.NaN;
         private Result result;
-        /** What is owed to its answer, and how that is passed on, once it is; null until then. */
         private final AnswerLifecycle answer;
+        /** The answer while it is passed on; null before that. */
         private AnswerStream stream;
         /** When data of a streamed body last moved. */
         private double lastProgressAt;
