--- a/src/main/java/cranedeal/node/AnswerLifecycle.java
+++ b/src/main/java/cranedeal/node/AnswerLifecycle.java
@@ -10,9 +10,9 @@
  * <p>An answer of up to {@link #MAX_SHORT_BYTES} is due whole at the deadline of its request; of a longer one
  * only the start is, and then it may go on for as long as its upstream gives it. Where the length is not
  * known, an answer counts as long once it is over that size, or while it still comes fast enough after the
- * deadline, by the pace since then or over its whole life, to be over it soon. A successful answer that is or may be long is never ended because of its
- * attempt's timeout, only because of its request's deadline. One that reports no success is not passed on:
- * its head tells the result.
+ * deadline, by the pace since then or over its whole life, to be over it soon. A successful answer that is or
+ * may be long is never ended because of its attempt's timeout, only because of its request's deadline. One
+ * that reports no success is not passed on: its head tells the result.
  *
  * <table>
  * <caption>What is owed</caption>
--- a/src/main/java/cranedeal/node/AnswerStream.java
+++ b/src/main/java/cranedeal/node/AnswerStream.java
@@ -4,8 +4,8 @@
 import io.netty.channel.Channel;
 
 /**
- * Passes the answer of an attempt on to its caller while it arrives, no faster than the caller reads. Confined
- * to the event loop of its connection.
+ * Passes the answer of an attempt on to its caller while it arrives, no faster than the caller reads.
+ * Confined to the event loop of its connection.
  */
 final class AnswerStream {
 
--- a/src/main/java/cranedeal/node/ResponseAggregator.java
+++ b/src/main/java/cranedeal/node/ResponseAggregator.java
@@ -105,7 +105,8 @@
         head = response;
         buffered = new BodyBuffer(ctx.alloc(), memory);
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (!informational && listener.headArrived(isSuccessful(), HttpUtil.getContentLength(response, -1L))) {
+        long length = HttpUtil.getContentLength(response, -1L);
+        if (!informational && listener.headArrived(isSuccessful(), length)) {
             passOn();
         }
     }
--- a/src/test/java/cranedeal/node/AnswerLifecycleSoakTest.java
+++ b/src/test/java/cranedeal/node/AnswerLifecycleSoakTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Answers drawn by seed in virtual time, against what is owed on both sides: none is cut off that comes whole,
- * and none that does not end keeps its request beyond its time. {@code -Dseed=N} begins elsewhere, and
+ * Answers drawn by seed in virtual time, against what is owed on both sides: none is cut off that comes
+ * whole, and none that does not end keeps its request beyond its time. {@code -Dseed=N} begins elsewhere, and
  * {@code -Danswers=N} draws so many.
  */
 class AnswerLifecycleSoakTest {
--- a/src/test/java/cranedeal/node/AnswerSoakCallers.java
+++ b/src/test/java/cranedeal/node/AnswerSoakCallers.java
@@ -5,8 +5,8 @@
 import java.util.Random;
 
 /**
- * Callers, each on a thread of its own, that use kept connections until they are ended: with small requests and
- * large ones, of HTTP/1.1 and 1.0, with three times, reading at once or slowly.
+ * Callers, each on a thread of its own, that use kept connections until they are ended: with small requests
+ * and large ones, of HTTP/1.1 and 1.0, with three times, reading at once or slowly.
  */
 final class AnswerSoakCallers extends CallerThreads<AnswerSoakCallers.Call> {
 
--- a/src/test/java/cranedeal/node/AnswerSoakTest.java
+++ b/src/test/java/cranedeal/node/AnswerSoakTest.java
@@ -104,7 +104,8 @@
     }
 
     private static AnswerPlan planOf(Map<String, AnswerPlan> plans, long seed, String id) {
-        return plans.computeIfAbsent(id, absent -> AnswerSoakPlans.draw(new Random(31 * seed + id.hashCode())));
+        return plans.computeIfAbsent(id,
+                absent -> AnswerSoakPlans.draw(new Random(31 * seed + id.hashCode())));
     }
 
     /** Returns what broke a rule, and counts what can't be told in time. */
--- a/src/test/java/cranedeal/node/ReceivedAnswer.java
+++ b/src/test/java/cranedeal/node/ReceivedAnswer.java
@@ -49,7 +49,8 @@
                 Map<String, String> headers = caller.readHeaders();
                 onHead.run();
                 last = "close".equalsIgnoreCase(headers.get("connection"))
-                        || !headers.containsKey("content-length") && !headers.containsKey("transfer-encoding");
+                        || !headers.containsKey("content-length")
+                        && !headers.containsKey("transfer-encoding");
                 body.read(headers);
                 whole = true;
             }
--- a/src/test/java/cranedeal/node/SlowAnswerTest.java
+++ b/src/test/java/cranedeal/node/SlowAnswerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cranedeal.node.AnswerPlan.Framing;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -62,7 +63,7 @@
             Random random = new Random(SEED);
             List<Callable<String>> plays = new ArrayList<>();
             for (int i = 0; i < ANSWERS; i++) {
-                AnswerPlan.Framing framing = AnswerPlan.Framing.values()[i % AnswerPlan.Framing.values().length];
+                Framing framing = Framing.values()[i % Framing.values().length];
                 int bytes = random.nextInt(MIN_BYTES, MAX_BYTES);
                 boolean slowly = random.nextBoolean();
                 String id = i + "-" + framing + "-" + bytes;
--- a/src/test/java/cranedeal/node/StreamedBodyTest.java
+++ b/src/test/java/cranedeal/node/StreamedBodyTest.java
@@ -512,7 +512,7 @@
         }
     }
 
-    /** Guards against an attempt without a time limit, as its request's body ended while it was being sent. */
+    /** Guards against an attempt without a time limit, as its request's body ended during its send. */
     @Test
     void anAttemptDuringWhoseSendTheBodyEndsHasItsRequestsTime() throws Exception {
         try (NodeFixture fixture = new NodeFixture().start()) {
@@ -530,7 +530,8 @@
                 bodyWritten.join();
                 fixture.balancer.sendTo(0, request, 0);
             };
-            caller.write(post("Content-Length: " + BODY.length()).replace("X-Remaining: 10", "X-Remaining: 1"));
+            caller.write(post("Content-Length: " + BODY.length())
+                    .replace("X-Remaining: 10", "X-Remaining: 1"));
             caller.write(BODY.substring(0, HALF));
             decided.get();
             caller.write(BODY.substring(HALF));
