--- a/src/test/java/cranedeal/node/LateBodyTest.java
+++ b/src/test/java/cranedeal/node/LateBodyTest.java
@@ -48,11 +48,24 @@
         "LENGTH, 1000, 1", "LENGTH, 3200, 1"})
     void aLongAnswerWhoseBodyComesLongAfterItsHeadReachesItsCallerWhole(AnswerPlan.Framing framing,
             int bodyAfterMs, int oneLateIn) throws Exception {
+        // So that attempts have a time of their own, after which the next one is sent.
+        play(framing, bodyAfterMs, oneLateIn, false);
+    }
+
+    /** Guards against refusing requests as all answers, without a length, come late behind their heads. */
+    @ParameterizedTest
+    @CsvSource({"CHUNKED, 1000", "CLOSE, 1000"})
+    void longAnswersWithoutALengthAreServedThoughEachBodyIsLate(AnswerPlan.Framing framing, int bodyAfterMs)
+            throws Exception {
+        play(framing, bodyAfterMs, 1, true);
+    }
+
+    private void play(AnswerPlan.Framing framing, int bodyAfterMs, int oneLateIn, boolean parallelAttempts)
+            throws Exception {
         AnswerPlan late = AnswerPlan.steady(framing, BYTES, bodyAfterMs, PIECE_BYTES, PIECE_EVERY_MS);
         AnswerPlan prompt = AnswerPlan.steady(framing, BYTES, 0, PIECE_BYTES, PIECE_EVERY_MS);
         NodeFixture fixture = new NodeFixture(UPSTREAMS);
-        // So that attempts have a time of their own, after which the next one is sent.
-        fixture.parallelAttempts = false;
+        fixture.parallelAttempts = parallelAttempts;
         try (fixture; NodeProcess node = new NodeProcess(fixture)) {
             PlannedUpstream upstream = new PlannedUpstream(
                     id -> Integer.parseInt(id.substring(1)) % oneLateIn == 0 ? late : prompt, 0);
